--- /dev/null
+++ b/include/auburnyard/configuration.h
@@ -0,0 +1,68 @@
+#ifndef AUBURNYARD_CONFIGURATION_H_
+#define AUBURNYARD_CONFIGURATION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/json/object.hpp>
+
+namespace auburnyard {
+
+enum class PriorityClass { kUrgent, kNormal, kArchive };
+inline constexpr std::size_t kPriorityClassCount = 3;
+
+std::string_view ToString(PriorityClass priority);
+/// Throws Error(kBadRequest) for an unknown name.
+PriorityClass ParsePriorityClass(std::string_view name);
+
+struct DomainConfig {
+  std::string region;
+  bool in = true;  ///< false: taken out by operators
+};
+
+struct TargetConfig {
+  std::string id;
+  std::string host;
+  std::uint16_t port = 0;
+  std::string domain;
+  std::uint32_t slots = 1;
+  std::uint32_t connections = 1;
+  std::uint32_t cold_limit = 1;
+  std::chrono::milliseconds connection_cost{0};
+  bool leaving = false;
+};
+
+/// What a gate does when a query is left with stragglers at its deadline
+/// margin.
+struct ServiceConfig {
+  double retry_budget = 0.1;   ///< share of first attempts
+  double hedge_budget = 0.05;  ///< share of first attempts
+  bool early_answer =
+      true;  ///< answer at the deadline margin with stated coverage
+  double min_coverage = 0.0;
+  std::chrono::milliseconds hedge_delay{
+      0};  ///< 0: derived from observed latency
+};
+
+/// Configuration in force. Immutable; the revision only rises.
+struct Configuration {
+  std::uint64_t revision = 0;
+  std::string nonce;
+  std::map<std::string, DomainConfig, std::less<>> domains;
+  std::map<std::string, TargetConfig, std::less<>> targets;
+  std::map<std::string, ServiceConfig, std::less<>> services;
+  boost::json::object intents;
+};
+
+/// Parses a configuration document. Throws Error(kBadRequest) that names the
+/// faulty member.
+Configuration ParseConfiguration(std::string_view json);
+std::string SerializeConfiguration(const Configuration& configuration);
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_CONFIGURATION_H_
--- /dev/null
+++ b/include/auburnyard/shard_map.h
@@ -0,0 +1,36 @@
+#ifndef AUBURNYARD_SHARD_MAP_H_
+#define AUBURNYARD_SHARD_MAP_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "auburnyard/key_range.h"
+
+namespace auburnyard {
+
+/// One shard of a snapshot and the targets that hold it.
+struct Shard {
+  std::string id;
+  KeyRange range;
+  std::vector<std::string> targets;
+};
+
+/// Shard map of one snapshot of a service. Immutable once published; queries
+/// pin it by shared pointer.
+struct ShardMap {
+  std::string service;
+  std::uint64_t revision = 0;  ///< only rises for a service
+  std::string snapshot;
+  std::vector<Shard> shards;
+};
+
+/// Parses a catalog document. Throws Error(kBadRequest) that names the faulty
+/// member.
+ShardMap ParseShardMap(std::string_view json);
+std::string SerializeShardMap(const ShardMap& map);
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SHARD_MAP_H_
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/src/core/configuration.cc
@@ -0,0 +1,180 @@
+#include "auburnyard/configuration.h"
+
+#include <array>
+#include <limits>
+
+#include <boost/json/serialize.hpp>
+
+#include "src/core/json_reader.h"
+
+namespace auburnyard {
+
+namespace {
+
+constexpr std::array<std::string_view, kPriorityClassCount> kPriorityNames = {
+    "urgent", "normal", "archive"};
+constexpr std::uint64_t kMaxRevision = std::numeric_limits<std::int64_t>::max();
+constexpr std::uint32_t kMaxSlots = 1024;
+constexpr std::uint32_t kMaxConnections = 65'535;
+constexpr std::uint32_t kMaxDelayMs = 60'000;
+
+bool ParseInState(const detail::JsonReader& reader, std::string_view other) {
+  const std::string state = reader.String("state", "in");
+  if (state != "in" && state != other) {
+    throw Error(ErrorKind::kBadRequest, reader.PathOf("state") +
+                                            ": expected \"in\" or \"" +
+                                            std::string(other) + "\"");
+  }
+  return state == "in";
+}
+
+DomainConfig ParseDomain(const detail::JsonReader& reader) {
+  reader.AllowOnly({"region", "state"});
+  return {.region = reader.String("region", ""),
+          .in = ParseInState(reader, "out")};
+}
+
+TargetConfig ParseTarget(std::string id, const detail::JsonReader& reader) {
+  reader.AllowOnly({"address", "domain", "slots", "connections",
+                    "connection_cost_ms", "cold_limit", "state"});
+  TargetConfig target;
+  target.id = std::move(id);
+  const std::string address = reader.String("address");
+  const std::size_t colon = address.rfind(':');
+  const std::string port =
+      colon == std::string::npos ? "" : address.substr(colon + 1);
+  if (port.empty() || port.size() > 5 ||
+      port.find_first_not_of("0123456789") != std::string::npos ||
+      std::stoul(port) == 0 ||
+      std::stoul(port) > std::numeric_limits<std::uint16_t>::max()) {
+    throw Error(ErrorKind::kBadRequest,
+                reader.PathOf("address") + ": expected IP:port");
+  }
+  target.host = address.substr(0, colon);
+  target.port = static_cast<std::uint16_t>(std::stoul(port));
+  target.domain = reader.String("domain");
+  target.slots =
+      static_cast<std::uint32_t>(reader.Integer("slots", 1, kMaxSlots));
+  target.connections = static_cast<std::uint32_t>(
+      reader.Integer("connections", 1, kMaxConnections, target.slots));
+  target.cold_limit =
+      static_cast<std::uint32_t>(reader.Integer("cold_limit", 0, kMaxSlots, 1));
+  target.connection_cost = std::chrono::milliseconds(
+      reader.Integer("connection_cost_ms", 0, kMaxDelayMs, 0));
+  target.leaving = !ParseInState(reader, "leaving");
+  return target;
+}
+
+ServiceConfig ParseService(const detail::JsonReader& reader) {
+  reader.AllowOnly({"class_order", "retry_budget", "hedge_budget",
+                    "early_answer", "min_coverage", "hedge_delay_ms"});
+  const ServiceConfig defaults;
+  ServiceConfig service;
+  service.retry_budget =
+      reader.Number("retry_budget", 0, 1, defaults.retry_budget);
+  service.hedge_budget =
+      reader.Number("hedge_budget", 0, 1, defaults.hedge_budget);
+  service.early_answer = reader.Boolean("early_answer", defaults.early_answer);
+  service.min_coverage =
+      reader.Number("min_coverage", 0, 1, defaults.min_coverage);
+  service.hedge_delay = std::chrono::milliseconds(
+      reader.Integer("hedge_delay_ms", 0, kMaxDelayMs, 0));
+  return service;
+}
+
+boost::json::object ToJson(const TargetConfig& target) {
+  return {{"address", target.host + ":" + std::to_string(target.port)},
+          {"domain", target.domain},
+          {"slots", target.slots},
+          {"connections", target.connections},
+          {"connection_cost_ms", target.connection_cost.count()},
+          {"cold_limit", target.cold_limit},
+          {"state", target.leaving ? "leaving" : "in"}};
+}
+
+boost::json::object ToJson(const ServiceConfig& service) {
+  return {{"retry_budget", service.retry_budget},
+          {"hedge_budget", service.hedge_budget},
+          {"early_answer", service.early_answer},
+          {"min_coverage", service.min_coverage},
+          {"hedge_delay_ms", service.hedge_delay.count()}};
+}
+
+}  // namespace
+
+std::string_view ToString(PriorityClass priority) {
+  return kPriorityNames.at(static_cast<std::size_t>(priority));
+}
+
+PriorityClass ParsePriorityClass(std::string_view name) {
+  for (std::size_t i = 0; i < kPriorityNames.size(); ++i) {
+    if (kPriorityNames.at(i) == name) {
+      return static_cast<PriorityClass>(i);
+    }
+  }
+  throw Error(ErrorKind::kBadRequest,
+              "class: expected \"urgent\", \"normal\" or \"archive\"");
+}
+
+Configuration ParseConfiguration(std::string_view json) {
+  const boost::json::value document =
+      detail::ParseJson(json, ErrorKind::kBadRequest);
+  const detail::JsonReader reader(document, "", ErrorKind::kBadRequest);
+  reader.AllowOnly(
+      {"revision", "nonce", "domains", "targets", "services", "intents"});
+  Configuration configuration;
+  configuration.revision = reader.Integer("revision", 1, kMaxRevision);
+  configuration.nonce = reader.String("nonce", "");
+  for (const auto& member : reader.Object("domains")) {
+    const std::string name(member.key());
+    configuration.domains.emplace(
+        name, ParseDomain(detail::JsonReader(member.value(), "domains." + name,
+                                             ErrorKind::kBadRequest)));
+  }
+  for (const auto& member : reader.Object("targets")) {
+    const std::string name(member.key());
+    TargetConfig target =
+        ParseTarget(name, detail::JsonReader(member.value(), "targets." + name,
+                                             ErrorKind::kBadRequest));
+    if (!configuration.domains.contains(target.domain)) {
+      throw Error(ErrorKind::kBadRequest,
+                  "targets." + name + ".domain: unknown failure domain");
+    }
+    configuration.targets.emplace(name, std::move(target));
+  }
+  for (const auto& member : reader.Object("services")) {
+    const std::string name(member.key());
+    configuration.services.emplace(
+        name, ParseService(detail::JsonReader(
+                  member.value(), "services." + name, ErrorKind::kBadRequest)));
+  }
+  if (reader.Has("intents")) {
+    configuration.intents = reader.Object("intents");
+  }
+  return configuration;
+}
+
+std::string SerializeConfiguration(const Configuration& configuration) {
+  boost::json::object domains;
+  for (const auto& [name, domain] : configuration.domains) {
+    domains[name] = {{"region", domain.region},
+                     {"state", domain.in ? "in" : "out"}};
+  }
+  boost::json::object targets;
+  for (const auto& [name, target] : configuration.targets) {
+    targets[name] = ToJson(target);
+  }
+  boost::json::object services;
+  for (const auto& [name, service] : configuration.services) {
+    services[name] = ToJson(service);
+  }
+  return boost::json::serialize(
+      boost::json::object{{"revision", configuration.revision},
+                          {"nonce", configuration.nonce},
+                          {"domains", std::move(domains)},
+                          {"targets", std::move(targets)},
+                          {"services", std::move(services)},
+                          {"intents", configuration.intents}});
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/src/core/coverage.cc
@@ -0,0 +1,88 @@
+#include "auburnyard/coverage.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnyard {
+
+namespace detail {
+
+std::vector<KeyRange> SortAndMerge(std::vector<KeyRange> ranges) {
+  std::erase_if(ranges, [](const KeyRange& range) { return range.empty(); });
+  std::sort(ranges.begin(), ranges.end());
+  std::vector<KeyRange> merged;
+  for (const KeyRange& range : ranges) {
+    if (!merged.empty() && range.begin <= merged.back().end) {
+      merged.back().end = std::max(merged.back().end, range.end);
+    } else {
+      merged.push_back(range);
+    }
+  }
+  return merged;
+}
+
+double TotalSize(const std::vector<KeyRange>& ranges) {
+  double total = 0;
+  for (const KeyRange& range : ranges) {
+    total += static_cast<double>(range.size());
+  }
+  return total;
+}
+
+}  // namespace detail
+
+Coverage::Coverage(std::vector<KeyRange> whole_ranges)
+    : whole(detail::SortAndMerge(std::move(whole_ranges))) {}
+
+bool Coverage::Add(KeyRange range) {
+  const bool inside = std::any_of(
+      this->whole.begin(), this->whole.end(), [&range](const KeyRange& part) {
+        return part.begin <= range.begin && range.end <= part.end;
+      });
+  const bool overlaps =
+      std::any_of(this->covered.begin(), this->covered.end(),
+                  [&range](const KeyRange& part) {
+                    return range.begin < part.end && part.begin < range.end;
+                  });
+  if (range.empty() || !inside || overlaps) {
+    return false;
+  }
+  this->covered.push_back(range);
+  this->covered = detail::SortAndMerge(std::move(this->covered));
+  return true;
+}
+
+double Coverage::Fraction() const {
+  if (this->Complete()) {
+    return 1.0;
+  }
+  // The sum of large ranges can round up to the total; an incomplete answer
+  // must stay below 1.
+  constexpr double kLargestIncomplete = 0.999999;
+  return std::min(kLargestIncomplete, detail::TotalSize(this->covered) /
+                                          detail::TotalSize(this->whole));
+}
+
+std::vector<KeyRange> Coverage::Missing() const {
+  std::vector<KeyRange> missing;
+  auto next = this->covered.begin();
+  for (const KeyRange& part : this->whole) {
+    std::uint64_t position = part.begin;
+    for (; next != this->covered.end() && next->end <= part.end; ++next) {
+      if (position < next->begin) {
+        missing.push_back({position, next->begin});
+      }
+      position = next->end;
+    }
+    if (position < part.end) {
+      missing.push_back({position, part.end});
+    }
+  }
+  return missing;
+}
+
+bool Coverage::Complete() const {
+  return this->covered == this->whole;
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/src/net/http_connection.cc
@@ -0,0 +1,135 @@
+#include "src/net/http_connection.h"
+
+#include <utility>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace auburnyard {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint64_t kMaxResponseBytes = 8 * 1024 * 1024;
+
+HttpResponse Convert(BeastResponse message) {
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.emplace_back(std::string(field.name_string()),
+                                  std::string(field.value()));
+  }
+  response.content_type = std::string(message[http::field::content_type]);
+  response.body = std::move(message.body());
+  return response;
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(asio::io_context& context,
+                               const std::string& host,
+                               std::uint16_t port)
+    : stream(asio::make_strand(context)),
+      endpoint(asio::ip::make_address(host), port),
+      host_header(host + ":" + std::to_string(port)) {}
+
+void HttpConnection::Exchange(const HttpCall& call,
+                              Duration timeout,
+                              Callback done) {
+  this->request = {};
+  this->request.version(11);
+  this->request.method_string(call.method);
+  this->request.target(call.path);
+  this->request.set(http::field::host, this->host_header);
+  if (!call.body.empty()) {
+    this->request.set(http::field::content_type, "application/json");
+  }
+  for (const auto& [name, value] : call.headers) {
+    this->request.set(name, value);
+  }
+  this->request.body() = call.body;
+  this->request.prepare_payload();
+  this->callback = std::move(done);
+  asio::dispatch(this->stream.get_executor(),
+                 [self = this->shared_from_this(), timeout] {
+                   self->stream.expires_after(timeout);
+                   if (self->connected) {
+                     self->Write();
+                     return;
+                   }
+                   self->stream.async_connect(
+                       self->endpoint, [self](boost::beast::error_code error) {
+                         if (error) {
+                           self->Finish(ExchangeStage::kConnect, error);
+                           return;
+                         }
+                         self->connected = true;
+                         boost::beast::error_code ignored;
+                         self->stream.socket().set_option(
+                             asio::ip::tcp::no_delay(true), ignored);
+                         self->Write();
+                       });
+                 });
+}
+
+void HttpConnection::Write() {
+  http::async_write(this->stream, this->request,
+                    [self = this->shared_from_this()](
+                        boost::beast::error_code error, std::size_t) {
+                      if (error) {
+                        self->Finish(ExchangeStage::kWrite, error);
+                        return;
+                      }
+                      self->ReadResponse();
+                    });
+}
+
+void HttpConnection::ReadResponse() {
+  this->parser.emplace();
+  this->parser->body_limit(kMaxResponseBytes);
+  http::async_read(this->stream, this->buffer, *this->parser,
+                   [self = this->shared_from_this()](
+                       boost::beast::error_code error, std::size_t) {
+                     self->Finish(
+                         error ? ExchangeStage::kRead : ExchangeStage::kDone,
+                         error);
+                   });
+}
+
+void HttpConnection::Finish(ExchangeStage stage,
+                            boost::beast::error_code error) {
+  ExchangeResult result;
+  result.stage = stage;
+  if (error) {
+    result.error = error.message();
+  } else {
+    this->stream.expires_never();
+    // Bytes after the response belong to no request of this connection, so it
+    // cannot be used again.
+    result.reusable = this->parser->keep_alive() && this->buffer.size() == 0;
+    result.response = Convert(this->parser->release());
+  }
+  if (!result.reusable) {
+    this->connected = false;
+    this->stream.close();
+  }
+  Callback done = std::move(this->callback);
+  this->callback = nullptr;
+  if (done) {
+    done(std::move(result));
+  }
+}
+
+void HttpConnection::Close() {
+  asio::dispatch(this->stream.get_executor(),
+                 [self = this->shared_from_this()] {
+                   self->connected = false;
+                   self->stream.close();
+                 });
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/src/net/http_connection.h
@@ -0,0 +1,74 @@
+#ifndef AUBURNYARD_SRC_NET_HTTP_CONNECTION_H_
+#define AUBURNYARD_SRC_NET_HTTP_CONNECTION_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "auburnyard/clock.h"
+#include "src/net/http_message.h"
+
+namespace auburnyard {
+
+/// A request to send.
+struct HttpCall {
+  std::string method = "GET";
+  std::string path = "/";
+  std::string body;
+  HttpHeaders headers;
+};
+
+/// How far an exchange came before it failed. Nothing was sent in stage
+/// kConnect.
+enum class ExchangeStage { kConnect, kWrite, kRead, kDone };
+
+struct ExchangeResult {
+  ExchangeStage stage = ExchangeStage::kDone;
+  std::string error;  ///< empty on success
+  HttpResponse response;
+  bool reusable = false;  ///< the connection may carry another exchange
+};
+
+/// Client side of one HTTP/1.1 connection; one exchange at a time. Runs on a
+/// strand of its own.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  using Callback = std::function<void(ExchangeResult)>;
+
+  HttpConnection(boost::asio::io_context& context,
+                 const std::string& host,
+                 std::uint16_t port);
+
+  /// Connects if necessary, sends the call and reads the response. Any failure
+  /// closes the connection.
+  void Exchange(const HttpCall& call, Duration timeout, Callback callback);
+  /// Closes the connection; a running exchange ends with an error.
+  void Close();
+
+ private:
+  void Write();
+  void ReadResponse();
+  void Finish(ExchangeStage stage, boost::beast::error_code error);
+
+  boost::beast::tcp_stream stream;
+  boost::asio::ip::tcp::endpoint endpoint;
+  std::string host_header;
+  boost::beast::flat_buffer buffer;
+  BeastRequest request;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
+      parser;
+  Callback callback;
+  bool connected = false;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_NET_HTTP_CONNECTION_H_
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,66 @@
+#ifndef AUBURNYARD_SRC_NET_HTTP_SERVER_H_
+#define AUBURNYARD_SRC_NET_HTTP_SERVER_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "src/net/http_message.h"
+
+namespace auburnyard {
+
+struct HttpServerLimits {
+  std::size_t max_connections = 1024;
+  std::uint32_t max_header_bytes = 8 * 1024;
+  std::uint64_t max_body_bytes = 64 * 1024;
+  std::chrono::milliseconds read_timeout{
+      10'000};  ///< for a whole request, from its first wait
+  std::chrono::milliseconds idle_timeout{
+      60'000};  ///< between requests of a connection
+};
+
+using HttpResponder = std::function<void(HttpResponse)>;
+/// Handles one request. The responder may be called once, from any thread, now
+/// or later.
+using HttpHandler =
+    std::function<void(HttpRequest request, HttpResponder respond)>;
+
+/// HTTP/1.1 server. Requests of one connection are answered one at a time, in
+/// order.
+class HttpServer : public std::enable_shared_from_this<HttpServer> {
+ public:
+  HttpServer(boost::asio::io_context& context,
+             HttpServerLimits limits,
+             HttpHandler handler);
+
+  /// Binds and accepts. Port 0 takes a free port. Throws Error(kConnection).
+  void Listen(const std::string& host, std::uint16_t port);
+  std::uint16_t port() const { return this->bound_port; }
+  /// Stops accepting; open connections close after the request they are
+  /// serving.
+  void StopAccepting();
+  std::size_t open_connections() const { return this->connections.load(); }
+  bool stopping() const { return this->is_stopping.load(); }
+
+ private:
+  friend class HttpSession;
+  void Accept();
+
+  boost::asio::io_context& context;
+  HttpServerLimits limits;
+  HttpHandler handler;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::uint16_t bound_port = 0;
+  std::atomic<std::size_t> connections{0};
+  std::atomic<bool> is_stopping{false};
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/src/net/http_session.cc
@@ -0,0 +1,238 @@
+#include "src/net/http_session.h"
+
+#include <utility>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "auburnyard/query.h"
+
+namespace auburnyard {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+namespace {
+
+HttpResponse ProblemResponse(ErrorKind kind, const std::string& detail) {
+  HttpResponse response;
+  response.status = DescribeError(kind).http_status;
+  response.content_type = "application/problem+json";
+  response.body = SerializeRefusal(
+      {.kind = kind, .run = RunState::kNotRun, .detail = detail});
+  response.close = true;
+  return response;
+}
+
+HttpRequest Convert(BeastRequest message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  const std::string_view target(message.target().data(),
+                                message.target().size());
+  const std::size_t question = target.find('?');
+  request.path = std::string(target.substr(0, question));
+  if (question != std::string_view::npos) {
+    request.query = std::string(target.substr(question + 1));
+  }
+  for (const auto& field : message) {
+    request.headers.emplace_back(std::string(field.name_string()),
+                                 std::string(field.value()));
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+HttpSession::HttpSession(std::shared_ptr<HttpServer> owner,
+                         asio::ip::tcp::socket socket)
+    : server(std::move(owner)), stream(std::move(socket)) {
+  ++this->server->connections;
+}
+
+HttpSession::~HttpSession() {
+  --this->server->connections;
+}
+
+void HttpSession::Start() {
+  boost::beast::error_code ignored;
+  this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  asio::dispatch(this->stream.get_executor(),
+                 [self = this->shared_from_this()] { self->Read(); });
+}
+
+void HttpSession::Reject(ErrorKind kind, const std::string& detail) {
+  asio::dispatch(this->stream.get_executor(),
+                 [self = this->shared_from_this(), kind, detail] {
+                   self->keep_alive = false;
+                   self->Send(ProblemResponse(kind, detail));
+                 });
+}
+
+void HttpSession::Read() {
+  this->parser.emplace();
+  this->parser->header_limit(this->server->limits.max_header_bytes);
+  this->parser->body_limit(this->server->limits.max_body_bytes);
+  this->responded = false;
+  // A partly received request must not extend its time with each byte, so the
+  // time-out is set once for the header.
+  const bool idle = this->buffer.size() == 0;
+  this->stream.expires_after(idle ? this->server->limits.idle_timeout
+                                  : this->server->limits.read_timeout);
+  if (!idle) {
+    http::async_read_header(this->stream, this->buffer, *this->parser,
+                            [self = this->shared_from_this()](
+                                boost::beast::error_code error, std::size_t) {
+                              self->OnHeader(error);
+                            });
+    return;
+  }
+  this->stream.async_read_some(
+      this->buffer.prepare(4096),
+      [self = this->shared_from_this()](boost::beast::error_code error,
+                                        std::size_t bytes) {
+        if (error || bytes == 0) {
+          self->Close();
+          return;
+        }
+        self->buffer.commit(bytes);
+        self->Read();
+      });
+}
+
+void HttpSession::OnHeader(boost::beast::error_code error) {
+  if (error) {
+    this->OnReadError(error);
+    return;
+  }
+  http::async_read(this->stream, this->buffer, *this->parser,
+                   [self = this->shared_from_this()](
+                       boost::beast::error_code read_error, std::size_t) {
+                     self->OnRead(read_error);
+                   });
+}
+
+void HttpSession::OnRead(boost::beast::error_code error) {
+  if (error) {
+    this->OnReadError(error);
+    return;
+  }
+  this->stream.expires_never();
+  this->Dispatch();
+}
+
+void HttpSession::OnReadError(boost::beast::error_code error) {
+  this->keep_alive = false;
+  if (error == http::error::body_limit) {
+    this->Send(ProblemResponse(ErrorKind::kPayloadTooLarge,
+                               "the body exceeds the limit"));
+  } else if (error == http::error::header_limit) {
+    this->Send(ProblemResponse(ErrorKind::kHeaderTooLarge,
+                               "the header exceeds the limit"));
+  } else if (error == boost::beast::error::timeout ||
+             error == http::error::end_of_stream ||
+             error == http::error::partial_message ||
+             error.category() == asio::error::get_system_category()) {
+    // A timed-out stream is closed by Beast already; nothing can be sent on it.
+    this->Close();
+  } else {
+    this->Send(ProblemResponse(ErrorKind::kBadRequest,
+                               "malformed HTTP request: " + error.message()));
+  }
+}
+
+void HttpSession::Dispatch() {
+  this->keep_alive = this->parser->keep_alive() && !this->server->stopping();
+  HttpRequest request = Convert(this->parser->release());
+  this->peer = std::make_shared<PeerWatch>();
+  request.peer = this->peer;
+  this->WatchPeer();
+  HttpResponder respond = [self =
+                               this->shared_from_this()](HttpResponse reply) {
+    asio::post(self->stream.get_executor(),
+               [self, reply = std::move(reply)]() mutable {
+                 self->Send(std::move(reply));
+               });
+  };
+  try {
+    this->server->handler(std::move(request), respond);
+  } catch (const Error& error) {
+    HttpResponse reply = ProblemResponse(error.kind(), error.what());
+    reply.close = false;
+    respond(std::move(reply));
+  } catch (const std::exception& error) {
+    respond(ProblemResponse(ErrorKind::kInternal, error.what()));
+  }
+}
+
+void HttpSession::WatchPeer() {
+  // Readable with nothing to read means that the client has closed. Pipelined
+  // requests end the watch.
+  this->stream.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = this->shared_from_this(),
+       watch = this->peer](boost::beast::error_code error) {
+        if (error || self->responded || watch != self->peer) {
+          return;
+        }
+        char byte = 0;
+        boost::beast::error_code peek_error;
+        self->stream.socket().receive(asio::buffer(&byte, 1),
+                                      asio::ip::tcp::socket::message_peek,
+                                      peek_error);
+        if (peek_error) {
+          watch->NotifyClosed();
+        }
+      });
+}
+
+void HttpSession::Send(HttpResponse reply) {
+  if (this->responded) {
+    return;
+  }
+  this->responded = true;
+  if (this->peer) {
+    this->peer->Reset();
+  }
+  boost::beast::error_code ignored;
+  this->stream.socket().cancel(ignored);
+  const bool close =
+      reply.close || !this->keep_alive || this->server->stopping();
+  this->response = {};
+  this->response.version(11);
+  this->response.result(static_cast<unsigned>(reply.status));
+  this->response.set(http::field::content_type, reply.content_type);
+  for (const auto& [name, value] : reply.headers) {
+    this->response.set(name, value);
+  }
+  this->response.body() = std::move(reply.body);
+  this->response.keep_alive(!close);
+  this->response.prepare_payload();
+  this->stream.expires_after(this->server->limits.read_timeout);
+  http::async_write(this->stream, this->response,
+                    [self = this->shared_from_this(), close](
+                        boost::beast::error_code error, std::size_t) {
+                      self->OnWritten(close, error);
+                    });
+}
+
+void HttpSession::OnWritten(bool close, boost::beast::error_code error) {
+  if (error || close) {
+    this->Close();
+    return;
+  }
+  this->Read();
+}
+
+void HttpSession::Close() {
+  if (this->peer) {
+    this->peer->NotifyClosed();
+  }
+  boost::beast::error_code ignored;
+  this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  this->stream.close();
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/test/test_main.cc
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE auburnyard
+#include <boost/test/unit_test.hpp>
