Add the daemon's query path and bounded HTTP input

Cause: nothing ran a query from a caller to the targets and back. Ruled out: beast::tcp_stream for server sessions, because its time-out closes the socket, so a slow client got no error; a timer per session cancels the read and answers 408. A gate that dispatches without asking the query: a query could report "not run" while its gate was sending. Conclusion: the path is complete on the daemon's side; it needs the target and platform stand-ins to run.

--- a/include/auburnyard/query_machine.h
+++ b/include/auburnyard/query_machine.h
@@ -92,6 +92,9 @@
                TimePoint now);
 
   std::vector<QueryAction> Start(TimePoint now);
+  /// Whether the attempt may still be sent. A finished query must not send work
+  /// that it reported as not run.
+  bool MayDispatch(const AttemptId& id) const;
   /// The gate sent the attempt to its target.
   std::vector<QueryAction> OnDispatched(const AttemptId& id, TimePoint now);
   std::vector<QueryAction> OnResult(const AttemptId& id,
--- a/include/auburnyard/target_gate.h
+++ b/include/auburnyard/target_gate.h
@@ -79,6 +79,8 @@
                                   ReplyOutcome outcome,
                                   const TargetReport& report,
                                   TimePoint now);
+  /// A dispatched attempt was withdrawn before any byte was sent.
+  std::vector<GateAction> OnNotSent(const AttemptId& id, TimePoint now);
   /// The exchange broke. The target's state is not known any more, so it counts
   /// as cold.
   std::vector<GateAction> OnConnectionLost(const AttemptId& id, TimePoint now);
--- a/src/core/query_machine.cc
+++ b/src/core/query_machine.cc
@@ -62,6 +62,12 @@
   return true;
 }
 
+bool QueryMachine::MayDispatch(const AttemptId& id) const {
+  const auto found = this->attempts.find(id);
+  return !this->is_finished && found != this->attempts.end() &&
+         !found->second.done;
+}
+
 std::vector<QueryAction> QueryMachine::OnDispatched(const AttemptId& id,
                                                     TimePoint /*now*/) {
   std::vector<QueryAction> actions;
--- a/src/core/target_gate.cc
+++ b/src/core/target_gate.cc
@@ -91,6 +91,14 @@
   return actions;
 }
 
+std::vector<GateAction> TargetGate::OnNotSent(const AttemptId& id,
+                                              TimePoint now) {
+  std::vector<GateAction> actions;
+  this->running.erase(id);
+  this->Fill(now, actions);
+  return actions;
+}
+
 std::vector<GateAction> TargetGate::OnConnectionLost(const AttemptId& id,
                                                      TimePoint now) {
   std::vector<GateAction> actions;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,3 +1,70 @@
-int main() {
-  return 0;
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+
+#include <popt.h>
+#include <spdlog/spdlog.h>
+
+#include "auburnyard/error.h"
+#include "src/daemon/entry_host.h"
+#include "src/daemon/settings.h"
+
+namespace {
+
+constexpr const char* kVersion = "auburnyardd 0.1.0";
+constexpr int kExitUsage = 2;
+
+struct Options {
+  std::string settings_path;
+  bool version = false;
+};
+
+Options ParseOptions(int argc, const char** argv) {
+  Options options;
+  int version = 0;
+  char* settings = nullptr;
+  const poptOption table[] = {{"settings", 's', POPT_ARG_STRING, &settings, 0,
+                               "settings file, JSON with comments", "FILE"},
+                              {"version", 'V', POPT_ARG_NONE, &version, 0,
+                               "print the version and exit", nullptr},
+                              POPT_AUTOHELP POPT_TABLEEND};
+  const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> parser(
+      poptGetContext("auburnyardd", argc, argv, table, 0), poptFreeContext);
+  const int code = poptGetNextOpt(parser.get());
+  options.version = version != 0;
+  if (settings != nullptr) {
+    options.settings_path = settings;
+    std::free(settings);
+  }
+  if (code < -1) {
+    throw auburnyard::Error(auburnyard::ErrorKind::kBadSettings,
+                            std::string(poptBadOption(parser.get(), 0)) + ": " +
+                                poptStrerror(code));
+  }
+  if (options.settings_path.empty() && !options.version) {
+    throw auburnyard::Error(auburnyard::ErrorKind::kBadSettings,
+                            "--settings FILE is required");
+  }
+  return options;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    const Options options = ParseOptions(argc, const_cast<const char**>(argv));
+    if (options.version) {
+      std::cout << kVersion << '\n';
+      return EXIT_SUCCESS;
+    }
+    auburnyard::EntryHost host(auburnyard::LoadSettings(options.settings_path));
+    host.Run();
+    return EXIT_SUCCESS;
+  } catch (const auburnyard::Error& error) {
+    std::cerr << "auburnyardd: " << error.what() << '\n';
+    return auburnyard::DescribeError(error.kind()).exit_code;
+  } catch (const std::exception& error) {
+    std::cerr << "auburnyardd: " << error.what() << '\n';
+    return kExitUsage;
+  }
 }
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -47,8 +47,10 @@
 }  // namespace
 
 HttpSession::HttpSession(std::shared_ptr<HttpServer> owner,
-                         asio::ip::tcp::socket socket)
-    : server(std::move(owner)), stream(std::move(socket)) {
+                         asio::ip::tcp::socket accepted)
+    : server(std::move(owner)),
+      socket(std::move(accepted)),
+      timer(this->socket.get_executor()) {
   ++this->server->connections;
 }
 
@@ -58,13 +60,13 @@
 
 void HttpSession::Start() {
   boost::beast::error_code ignored;
-  this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-  asio::dispatch(this->stream.get_executor(),
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  asio::dispatch(this->socket.get_executor(),
                  [self = this->shared_from_this()] { self->Read(); });
 }
 
 void HttpSession::Reject(ErrorKind kind, const std::string& detail) {
-  asio::dispatch(this->stream.get_executor(),
+  asio::dispatch(this->socket.get_executor(),
                  [self = this->shared_from_this(), kind, detail] {
                    self->keep_alive = false;
                    self->Send(ProblemResponse(kind, detail));
@@ -76,20 +78,20 @@
   this->parser->header_limit(this->server->limits.max_header_bytes);
   this->parser->body_limit(this->server->limits.max_body_bytes);
   this->responded = false;
-  // A partly received request must not extend its time with each byte, so the
-  // time-out is set once for the header.
+  // The time-out is set once for a whole request, so that a client cannot
+  // extend it by sending byte by byte.
   const bool idle = this->buffer.size() == 0;
-  this->stream.expires_after(idle ? this->server->limits.idle_timeout
-                                  : this->server->limits.read_timeout);
+  this->StartTimer(idle ? this->server->limits.idle_timeout
+                        : this->server->limits.read_timeout);
   if (!idle) {
-    http::async_read_header(this->stream, this->buffer, *this->parser,
+    http::async_read_header(this->socket, this->buffer, *this->parser,
                             [self = this->shared_from_this()](
                                 boost::beast::error_code error, std::size_t) {
                               self->OnHeader(error);
                             });
     return;
   }
-  this->stream.async_read_some(
+  this->socket.async_read_some(
       this->buffer.prepare(4096),
       [self = this->shared_from_this()](boost::beast::error_code error,
                                         std::size_t bytes) {
@@ -102,12 +104,31 @@
       });
 }
 
+void HttpSession::StartTimer(std::chrono::milliseconds timeout) {
+  this->timer.expires_after(timeout);
+  this->timer.async_wait(
+      [self = this->shared_from_this(),
+       generation = ++this->timer_generation](boost::beast::error_code error) {
+        if (error || generation != self->timer_generation) {
+          return;
+        }
+        self->timed_out = true;
+        boost::beast::error_code ignored;
+        self->socket.cancel(ignored);
+      });
+}
+
+void HttpSession::StopTimer() {
+  ++this->timer_generation;
+  this->timer.cancel();
+}
+
 void HttpSession::OnHeader(boost::beast::error_code error) {
   if (error) {
     this->OnReadError(error);
     return;
   }
-  http::async_read(this->stream, this->buffer, *this->parser,
+  http::async_read(this->socket, this->buffer, *this->parser,
                    [self = this->shared_from_this()](
                        boost::beast::error_code read_error, std::size_t) {
                      self->OnRead(read_error);
@@ -119,7 +140,7 @@
     this->OnReadError(error);
     return;
   }
-  this->stream.expires_never();
+  this->StopTimer();
   this->Dispatch();
 }
 
@@ -131,11 +152,13 @@
   } else if (error == http::error::header_limit) {
     this->Send(ProblemResponse(ErrorKind::kHeaderTooLarge,
                                "the header exceeds the limit"));
-  } else if (error == boost::beast::error::timeout ||
-             error == http::error::end_of_stream ||
+  } else if (this->timed_out) {
+    this->Send(ProblemResponse(ErrorKind::kRequestTimeout,
+                               "the request was not complete in time"));
+  } else if (error == http::error::end_of_stream ||
              error == http::error::partial_message ||
-             error.category() == asio::error::get_system_category()) {
-    // A timed-out stream is closed by Beast already; nothing can be sent on it.
+             error.category() == asio::error::get_system_category() ||
+             error.category() == asio::error::get_misc_category()) {
     this->Close();
   } else {
     this->Send(ProblemResponse(ErrorKind::kBadRequest,
@@ -151,7 +174,7 @@
   this->WatchPeer();
   HttpResponder respond = [self =
                                this->shared_from_this()](HttpResponse reply) {
-    asio::post(self->stream.get_executor(),
+    asio::post(self->socket.get_executor(),
                [self, reply = std::move(reply)]() mutable {
                  self->Send(std::move(reply));
                });
@@ -170,7 +193,7 @@
 void HttpSession::WatchPeer() {
   // Readable with nothing to read means that the client has closed. Pipelined
   // requests end the watch.
-  this->stream.socket().async_wait(
+  this->socket.async_wait(
       asio::ip::tcp::socket::wait_read,
       [self = this->shared_from_this(),
        watch = this->peer](boost::beast::error_code error) {
@@ -179,9 +202,8 @@
         }
         char byte = 0;
         boost::beast::error_code peek_error;
-        self->stream.socket().receive(asio::buffer(&byte, 1),
-                                      asio::ip::tcp::socket::message_peek,
-                                      peek_error);
+        self->socket.receive(asio::buffer(&byte, 1),
+                             asio::ip::tcp::socket::message_peek, peek_error);
         if (peek_error) {
           watch->NotifyClosed();
         }
@@ -197,7 +219,7 @@
     this->peer->Reset();
   }
   boost::beast::error_code ignored;
-  this->stream.socket().cancel(ignored);
+  this->socket.cancel(ignored);
   const bool close =
       reply.close || !this->keep_alive || this->server->stopping();
   this->response = {};
@@ -210,8 +232,8 @@
   this->response.body() = std::move(reply.body);
   this->response.keep_alive(!close);
   this->response.prepare_payload();
-  this->stream.expires_after(this->server->limits.read_timeout);
-  http::async_write(this->stream, this->response,
+  this->StartTimer(this->server->limits.read_timeout);
+  http::async_write(this->socket, this->response,
                     [self = this->shared_from_this(), close](
                         boost::beast::error_code error, std::size_t) {
                       self->OnWritten(close, error);
@@ -231,8 +253,9 @@
     this->peer->NotifyClosed();
   }
   boost::beast::error_code ignored;
-  this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  this->stream.close();
+  this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  this->StopTimer();
+  this->socket.close(ignored);
 }
 
 }  // namespace auburnyard
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -1,12 +1,16 @@
 #ifndef AUBURNYARD_SRC_NET_HTTP_SESSION_H_
 #define AUBURNYARD_SRC_NET_HTTP_SESSION_H_
 
+#include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "auburnyard/error.h"
@@ -15,11 +19,11 @@
 
 namespace auburnyard {
 
-/// One connection of an HttpServer. Runs on the strand of its stream.
+/// One connection of an HttpServer. Runs on the strand of its socket.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
  public:
   HttpSession(std::shared_ptr<HttpServer> server,
-              boost::asio::ip::tcp::socket socket);
+              boost::asio::ip::tcp::socket accepted);
   ~HttpSession();
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
@@ -30,6 +34,8 @@
 
  private:
   void Read();
+  void StartTimer(std::chrono::milliseconds timeout);
+  void StopTimer();
   void OnHeader(boost::beast::error_code error);
   void OnRead(boost::beast::error_code error);
   void OnReadError(boost::beast::error_code error);
@@ -40,7 +46,8 @@
   void Close();
 
   std::shared_ptr<HttpServer> server;
-  boost::beast::tcp_stream stream;
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
   boost::beast::flat_buffer buffer;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
@@ -49,6 +56,8 @@
   BeastResponse response;
   bool keep_alive = true;
   bool responded = false;
+  bool timed_out = false;
+  std::uint64_t timer_generation = 0;
 };
 
 }  // namespace auburnyard
