--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_SRC_NET_HTTP_MESSAGE_H_
 #define AUBURNYARD_SRC_NET_HTTP_MESSAGE_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -28,7 +29,8 @@
   std::string body;
   HttpHeaders headers;
   std::shared_ptr<PeerWatch>
-      peer;  ///< reports that the client closed its connection
+      peer;                  ///< reports that the client closed its connection
+  std::uint64_t number = 0;  ///< of the request on its connection, from 1
 
   /// Value of a header, empty if absent. The name is matched without regard to
   /// case.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -45,6 +45,31 @@
                  });
 }
 
+void HttpServer::AbortConnections() {
+  std::vector<std::shared_ptr<HttpSession>> open;
+  {
+    const std::lock_guard lock(this->sessions_mutex);
+    for (const auto& [key, session] : this->sessions) {
+      open.push_back(session.lock());
+    }
+  }
+  for (const auto& session : open) {
+    if (session) {
+      session->Abort();
+    }
+  }
+}
+
+void HttpServer::Register(const std::shared_ptr<HttpSession>& session) {
+  const std::lock_guard lock(this->sessions_mutex);
+  this->sessions.emplace(session.get(), session);
+}
+
+void HttpServer::Unregister(const HttpSession* session) {
+  const std::lock_guard lock(this->sessions_mutex);
+  this->sessions.erase(session);
+}
+
 void HttpServer::Accept() {
   this->acceptor.async_accept(
       asio::make_strand(this->context),
@@ -57,6 +82,7 @@
           const bool full =
               self->connections.load() >= self->limits.max_connections;
           auto session = std::make_shared<HttpSession>(self, std::move(socket));
+          self->Register(session);
           if (full) {
             session->Reject(ErrorKind::kOverloaded,
                             "the connection limit is reached");
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -31,6 +33,8 @@
 using HttpHandler =
     std::function<void(HttpRequest request, HttpResponder respond)>;
 
+class HttpSession;
+
 /// HTTP/1.1 server. Requests of one connection are answered one at a time, in
 /// order.
 class HttpServer : public std::enable_shared_from_this<HttpServer> {
@@ -45,12 +49,16 @@
   /// Stops accepting; open connections close after the request they are
   /// serving.
   void StopAccepting();
+  /// Resets all connections. Requests in progress get no response.
+  void AbortConnections();
   std::size_t open_connections() const { return this->connections.load(); }
   bool stopping() const { return this->is_stopping.load(); }
 
  private:
   friend class HttpSession;
   void Accept();
+  void Register(const std::shared_ptr<HttpSession>& session);
+  void Unregister(const HttpSession* session);
 
   boost::asio::io_context& context;
   HttpServerLimits limits;
@@ -59,6 +67,8 @@
   std::uint16_t bound_port = 0;
   std::atomic<std::size_t> connections{0};
   std::atomic<bool> is_stopping{false};
+  std::mutex sessions_mutex;
+  std::unordered_map<const HttpSession*, std::weak_ptr<HttpSession>> sessions;
 };
 
 }  // namespace auburnyard
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -53,6 +53,7 @@
 }
 
 HttpSession::~HttpSession() {
+  this->server->Unregister(this);
   --this->server->connections;
 }
 
@@ -71,6 +72,16 @@
                  });
 }
 
+void HttpSession::Abort() {
+  asio::dispatch(this->stream.get_executor(),
+                 [self = this->shared_from_this()] {
+                   boost::beast::error_code ignored;
+                   self->stream.socket().set_option(
+                       asio::socket_base::linger(true, 0), ignored);
+                   self->stream.close();
+                 });
+}
+
 void HttpSession::Read() {
   this->parser.emplace();
   this->parser->header_limit(this->server->limits.max_header_bytes);
@@ -148,6 +159,7 @@
   HttpRequest request = Convert(this->parser->release());
   this->peer = std::make_shared<PeerWatch>();
   request.peer = this->peer;
+  request.number = ++this->requests;
   this->WatchPeer();
   HttpResponder respond = [self =
                                this->shared_from_this()](HttpResponse reply) {
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -27,6 +27,8 @@
   void Start();
   /// Answers with an error and closes, without reading a request.
   void Reject(ErrorKind kind, const std::string& detail);
+  /// Resets the connection.
+  void Abort();
 
  private:
   void Read();
@@ -47,6 +49,7 @@
       parser;
   std::shared_ptr<PeerWatch> peer;
   BeastResponse response;
+  std::uint64_t requests = 0;
   bool keep_alive = true;
   bool responded = false;
 };
--- /dev/null
+++ b/util/target_standin/target_service.cc
@@ -0,0 +1,249 @@
+#include "util/target_standin/target_service.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+#include "src/core/json_reader.h"
+#include "util/common/expected_items.h"
+#include "util/common/json_reply.h"
+
+namespace auburnyard::util {
+
+namespace {
+
+constexpr std::uint64_t kMaxKey = std::numeric_limits<std::uint64_t>::max();
+
+SubRequest ParseSubRequest(const HttpRequest& request, TimePoint now) {
+  const boost::json::value document =
+      detail::ParseJson(request.body, ErrorKind::kBadRequest);
+  const detail::JsonReader reader(document, "", ErrorKind::kBadRequest);
+  SubRequest result;
+  result.request_id = request.Header("X-Request-Id");
+  result.attempt_id = request.Header("X-Attempt-Id");
+  result.snapshot = request.Header("X-Snapshot");
+  result.service = reader.String("service");
+  result.shard = reader.String("shard");
+  result.range = {reader.Integer("begin", 0, kMaxKey),
+                  reader.Integer("end", 0, kMaxKey)};
+  result.query = reader.String("query", "");
+  const std::string_view deadline = request.Header("X-Deadline-Ms");
+  std::uint32_t milliseconds = 0;
+  const auto [end, error] = std::from_chars(
+      deadline.data(), deadline.data() + deadline.size(), milliseconds);
+  if (!deadline.empty() && error == std::errc()) {
+    result.deadline = now + std::chrono::milliseconds(milliseconds);
+  }
+  return result;
+}
+
+}  // namespace
+
+TargetService::TargetService(boost::asio::io_context& io_context,
+                             const Clock& service_clock,
+                             const TargetOptions& options,
+                             std::uint64_t process_nonce)
+    : context(io_context),
+      clock(service_clock),
+      model(options, process_nonce) {}
+
+void TargetService::Listen() {
+  HttpServerLimits limits;
+  limits.max_connections = this->model.options.connections;
+  this->server = std::make_shared<HttpServer>(
+      this->context, limits,
+      [self = this->shared_from_this()](const HttpRequest& request,
+                                        const HttpResponder& respond) {
+        self->Receive(request, respond);
+      });
+  this->server->Listen(this->model.options.host, this->model.options.port);
+  this->model.options.port = this->server->port();
+}
+
+void TargetService::Receive(const HttpRequest& request,
+                            const HttpResponder& respond) {
+  const Duration cost = this->model.options.connection_cost;
+  if (request.number != 1 || cost == Duration::zero()) {
+    this->Handle(request, respond);
+    return;
+  }
+  // A target sets up one connection at a time.
+  TimePoint ready;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->setup_ready = std::max(this->setup_ready, this->clock.Now()) + cost;
+    ready = this->setup_ready;
+  }
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(this->context, ready);
+  timer->async_wait([self = this->shared_from_this(), timer, request,
+                     respond](boost::system::error_code) {
+    try {
+      self->Handle(request, respond);
+    } catch (const Error& error) {
+      respond(ErrorReply(error.kind(), error.what()));
+    }
+  });
+}
+
+void TargetService::Handle(const HttpRequest& request,
+                           const HttpResponder& respond) {
+  if (request.path == "/v1/execute" && request.method == "POST") {
+    this->HandleExecute(request, respond);
+  } else if (request.path == "/v1/cancel" && request.method == "POST") {
+    respond(this->HandleCancel(request));
+  } else {
+    throw Error(ErrorKind::kNotFound, request.path + ": no such resource");
+  }
+}
+
+void TargetService::HandleExecute(const HttpRequest& request,
+                                  const HttpResponder& respond) {
+  const TimePoint now = this->clock.Now();
+  const SubRequest sub_request = ParseSubRequest(request, now);
+  std::unique_lock lock(this->mutex);
+  const Arrival arrival = this->model.Receive(sub_request, now);
+  switch (arrival.verdict) {
+    case ArrivalVerdict::kQueueFull:
+      respond(this->RefusalReply("the queue is full"));
+      return;
+    case ArrivalVerdict::kLeaving:
+      respond(this->RefusalReply("the target is leaving"));
+      return;
+    case ArrivalVerdict::kSnapshotAbsent:
+      respond(this->AbsentSnapshotReply(sub_request));
+      return;
+    case ArrivalVerdict::kAccepted:
+      break;
+  }
+  this->pending[arrival.execution] = {respond, nullptr};
+  this->StartWork();
+  // The watch runs its callback at once if the client has closed already.
+  lock.unlock();
+  if (request.peer) {
+    request.peer->OnClosed(
+        [weak = this->weak_from_this(), id = arrival.execution] {
+          if (const auto self = weak.lock()) {
+            self->CancelAbandoned(id);
+          }
+        });
+  }
+}
+
+void TargetService::StartWork() {
+  std::vector<ExecutionId> expired;
+  for (const StartedExecution& started :
+       this->model.Fill(this->clock.Now(), expired)) {
+    this->Arm(started);
+  }
+  for (const ExecutionId id : expired) {
+    this->Reply(id, this->RefusalReply("the deadline elapsed in the queue"));
+  }
+}
+
+void TargetService::Arm(const StartedExecution& started) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      this->context, started.latency);
+  this->pending[started.id].timer = timer;
+  timer->async_wait([self = this->shared_from_this(), timer,
+                     id = started.id](boost::system::error_code error) {
+    if (!error) {
+      self->Complete(id);
+    }
+  });
+}
+
+void TargetService::Complete(ExecutionId id) {
+  const std::lock_guard lock(this->mutex);
+  if (!this->model.Finish(id, this->clock.Now())) {
+    return;
+  }
+  this->Reply(id, this->ResultReply(this->model.RequestOf(id)));
+  this->StartWork();
+}
+
+// A client that closes its connection abandons queued work. Work that has
+// started runs to its end, as in servers that notice the loss only when they
+// write.
+void TargetService::CancelAbandoned(ExecutionId id) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->pending.find(id);
+  if (found != this->pending.end() && !found->second.timer) {
+    this->model.CancelExecution(id, "connection_closed", this->clock.Now());
+    this->pending.erase(found);
+  }
+}
+
+HttpResponse TargetService::HandleCancel(const HttpRequest& request) {
+  const std::lock_guard lock(this->mutex);
+  const Cancellation cancellation = this->model.Cancel(
+      request.Header("X-Attempt-Id"), "cancelled", this->clock.Now());
+  if (cancellation.outcome == CancelOutcome::kUnknown) {
+    return JsonReply({{"state", "unknown"}}, 404);
+  }
+  const bool queued = cancellation.outcome == CancelOutcome::kNotStarted;
+  HttpResponse reply = queued ? this->RefusalReply("cancelled before start")
+                              : JsonReply({{"state", "cancelled"}}, 503);
+  this->AddReportHeaders(reply);
+  this->Reply(cancellation.execution, std::move(reply));
+  this->StartWork();
+  return JsonReply({{"state", queued ? "not_started" : "running"}});
+}
+
+void TargetService::Reply(ExecutionId id, HttpResponse reply) {
+  const auto found = this->pending.find(id);
+  if (found == this->pending.end()) {
+    return;
+  }
+  if (found->second.timer) {
+    found->second.timer->cancel();
+  }
+  const HttpResponder respond = std::move(found->second.respond);
+  this->pending.erase(found);
+  respond(std::move(reply));
+}
+
+HttpResponse TargetService::ResultReply(const SubRequest& request) const {
+  HttpResponse reply =
+      JsonReply({{"attempt", request.attempt_id},
+                 {"snapshot", request.snapshot},
+                 {"begin", request.range.begin},
+                 {"end", request.range.end},
+                 {"items", ExpectedItems({.service = request.service,
+                                          .shard = request.shard,
+                                          .snapshot = request.snapshot,
+                                          .query = request.query},
+                                         request.range)}});
+  reply.headers.emplace_back("X-Attempt-Id", request.attempt_id);
+  reply.headers.emplace_back("X-Snapshot", request.snapshot);
+  this->AddReportHeaders(reply);
+  return reply;
+}
+
+HttpResponse TargetService::RefusalReply(const std::string& detail) const {
+  HttpResponse reply = ErrorReply(ErrorKind::kOverloaded, detail);
+  reply.headers.emplace_back("X-Not-Started", "1");
+  this->AddReportHeaders(reply);
+  return reply;
+}
+
+HttpResponse TargetService::AbsentSnapshotReply(
+    const SubRequest& request) const {
+  HttpResponse reply = ErrorReply(
+      ErrorKind::kConflict, request.snapshot + ": not held for the range");
+  reply.headers.emplace_back("X-Snapshot",
+                             this->model.snapshots.Present(request.service));
+  reply.headers.emplace_back("X-Not-Started", "1");
+  this->AddReportHeaders(reply);
+  return reply;
+}
+
+void TargetService::AddReportHeaders(HttpResponse& reply) const {
+  reply.headers.emplace_back("X-Start-Id", this->model.start_id());
+  reply.headers.emplace_back("X-Load", std::to_string(this->model.load()));
+  reply.headers.emplace_back(
+      "X-Drain", this->model.draining || this->model.leaving ? "1" : "0");
+}
+
+}  // namespace auburnyard::util
