--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -75,13 +75,12 @@
 }
 
 void HttpSession::Abort() {
-  asio::dispatch(this->stream.get_executor(),
-                 [self = this->shared_from_this()] {
-                   boost::beast::error_code ignored;
-                   self->stream.socket().set_option(
-                       asio::socket_base::linger(true, 0), ignored);
-                   self->stream.close();
-                 });
+  asio::dispatch(
+      this->socket.get_executor(), [self = this->shared_from_this()] {
+        boost::beast::error_code ignored;
+        self->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        self->socket.close(ignored);
+      });
 }
 
 void HttpSession::Read() {
