Split the gate into small types and fix ten of its rules

The first version of the gate kept its queue, ramp and drain mark in one class.

The gate now consists of ColdStart, WaitQueue, Shedder, DrainMark and WindowedMinimum. New rules: shedding by the smallest queue delay of 100 ms, lowest class first; early rejection of requests that even the fastest service time of the last second would make late (a mean was ruled out: after a slow phase it refuses everything and gets no new samples); a queue bounded in length and bytes; a drain hold of 10 s, then one request finds out whether the target is back. OnExchangeEnded frees a slot without counting the target as cold; use it when this side closed the connection. NextTimer says when OnTimer is due.

--- /dev/null
+++ b/include/auburnyard/wait_queue.h
@@ -0,0 +1,67 @@
+#ifndef AUBURNYARD_WAIT_QUEUE_H_
+#define AUBURNYARD_WAIT_QUEUE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "auburnyard/gate_request.h"
+
+namespace auburnyard {
+
+struct WaitingRequest {
+  GateRequest request;
+  TimePoint enqueued;
+};
+
+/// Requests in order of priority class, then deadline, then arrival. The lowest
+/// class has a guaranteed share of the starts.
+class WaitQueue {
+ public:
+  explicit WaitQueue(std::uint32_t guaranteed_per_mille);
+
+  void Push(GateRequest request, TimePoint now);
+  bool Contains(const AttemptId& id) const { return this->index.contains(id); }
+  std::optional<WaitingRequest> Remove(const AttemptId& id);
+  /// Takes the request that starts next and counts it as a start.
+  std::optional<WaitingRequest> PopNext();
+  /// Takes every request whose deadline is at or before `time`.
+  std::vector<WaitingRequest> PopDue(TimePoint time);
+  /// Takes the request that starts last. Empty if it does not start after
+  /// `priority`. The last one of the lowest class is kept, because it holds
+  /// the class's guaranteed share.
+  std::optional<WaitingRequest> PopLastBelow(PriorityClass priority);
+  std::vector<WaitingRequest> PopAll();
+
+  /// Requests that start before one of this class and deadline.
+  std::size_t Ahead(PriorityClass priority, TimePoint deadline) const;
+  /// Time at which the oldest request of the class arrived.
+  std::optional<TimePoint> OldestArrival(PriorityClass priority) const;
+  std::optional<TimePoint> EarliestDeadline() const;
+  void SetGuaranteedShare(std::uint32_t per_mille);
+  std::size_t size() const { return this->index.size(); }
+  std::size_t size(PriorityClass priority) const;
+  std::size_t bytes() const { return this->total_bytes; }
+
+ private:
+  using Key = std::pair<TimePoint, std::uint64_t>;  // deadline, arrival number
+  using Class = std::map<Key, WaitingRequest>;
+
+  WaitingRequest Take(Class& requests, Class::iterator position);
+  Class* NextClass();
+
+  std::array<Class, kPriorityClassCount> classes;
+  std::unordered_map<AttemptId, std::pair<std::size_t, Key>> index;
+  std::uint32_t guaranteed_per_mille;
+  std::uint32_t lowest_credit = 0;  // a start of the lowest class costs 1000
+  std::uint64_t next_arrival = 0;
+  std::size_t total_bytes = 0;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_WAIT_QUEUE_H_
--- /dev/null
+++ b/include/auburnyard/windowed_minimum.h
@@ -0,0 +1,30 @@
+#ifndef AUBURNYARD_WINDOWED_MINIMUM_H_
+#define AUBURNYARD_WINDOWED_MINIMUM_H_
+
+#include <deque>
+#include <optional>
+#include <utility>
+
+#include "auburnyard/clock.h"
+
+namespace auburnyard {
+
+/// Smallest duration observed within the last `window`.
+class WindowedMinimum {
+ public:
+  explicit WindowedMinimum(Duration window);
+
+  void Add(Duration value, TimePoint now);
+  /// Empty if the window holds no observation.
+  std::optional<Duration> Get(TimePoint now) const;
+
+ private:
+  Duration window;
+  // Increasing values; a value that is larger and older than a later one can
+  // never be the minimum again.
+  std::deque<std::pair<TimePoint, Duration>> candidates;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_WINDOWED_MINIMUM_H_
--- a/src/core/target_gate.cc
+++ b/src/core/target_gate.cc
@@ -6,14 +6,25 @@
 
 namespace auburnyard {
 
+namespace {
+
+// The smallest service time of the last second is a cautious estimate: a
+// request is refused only if even the fastest recent one would have been late,
+// and an estimate without new samples expires.
+constexpr Duration kServiceTimeWindow = std::chrono::seconds(1);
+
+}  // namespace
+
 TargetGate::TargetGate(std::string target, GateLimits gate_limits)
     : target_id(std::move(target)),
       limits(gate_limits),
-      cold_window(gate_limits.cold_limit) {}
+      cold_start(gate_limits.cold_limit),
+      waiting(gate_limits.lowest_class_per_mille),
+      shedder(gate_limits.shed_bounds),
+      service_time(kServiceTimeWindow) {}
 
 std::uint32_t TargetGate::window() const {
-  return this->is_cold ? std::min(this->cold_window, this->limits.slots)
-                       : this->limits.slots;
+  return this->cold_start.Window(this->limits.slots);
 }
 
 std::optional<Reason> TargetGate::Closed() const {
@@ -23,7 +34,7 @@
   if (this->admission.leaving) {
     return Reason::kTargetLeaving;
   }
-  if (this->is_draining) {
+  if (this->drain.draining()) {
     return Reason::kRetryTargetDraining;
   }
   return std::nullopt;
@@ -31,37 +42,88 @@
 
 std::vector<GateAction> TargetGate::Enqueue(const GateRequest& request,
                                             TimePoint now) {
-  std::vector<GateAction> actions;
-  if (const std::optional<Reason> closed = this->Closed()) {
-    actions.emplace_back(RejectAttempt{request.id, *closed});
-    return actions;
+  if (this->waiting.Contains(request.id) ||
+      this->running.contains(request.id)) {
+    return {};
+  }
+  std::vector<GateAction> actions = this->Advance(now);
+  std::optional<Reason> refused = this->Refused(request, now);
+  if (!refused && !this->MakeRoom(request, actions)) {
+    refused = Reason::kQueueFull;
   }
-  if (this->waiting.size() >= this->limits.queue_length) {
-    actions.emplace_back(RejectAttempt{request.id, Reason::kQueueFull});
+  if (refused) {
+    actions.emplace_back(RejectAttempt{request.id, *refused});
     return actions;
   }
-  this->waiting.push_back({request, now, this->next_sequence++});
-  this->Fill(now, actions);
-  return actions;
+  this->waiting.Push(request, now);
+  return this->Advance(now, std::move(actions));
+}
+
+std::optional<Reason> TargetGate::Refused(const GateRequest& request,
+                                          TimePoint now) const {
+  if (const std::optional<Reason> closed = this->Closed()) {
+    return closed;
+  }
+  if (request.deadline <= now) {
+    return Reason::kDeadlineElapsed;
+  }
+  if (this->CannotFinish(request, now)) {
+    return Reason::kDeadlineTooShort;
+  }
+  const bool starts_at_once =
+      this->waiting.size() == 0 && this->running.size() < this->window();
+  // One request of the lowest class may always wait, for its guaranteed starts.
+  const bool guaranteed = request.priority == PriorityClass::kArchive &&
+                          this->limits.lowest_class_per_mille > 0 &&
+                          this->waiting.size(PriorityClass::kArchive) == 0;
+  if (!starts_at_once && !guaranteed &&
+      this->shedder.Sheds(request.priority, this->waiting, now)) {
+    return Reason::kQueueDelay;
+  }
+  return std::nullopt;
+}
+
+bool TargetGate::CannotFinish(const GateRequest& request, TimePoint now) const {
+  const std::optional<Duration> service = this->service_time.Get(now);
+  if (!service || this->window() == 0) {
+    return false;
+  }
+  const std::size_t rounds =
+      this->waiting.Ahead(request.priority, request.deadline) / this->window();
+  return now + *service * static_cast<std::int64_t>(rounds + 1) >
+         request.deadline;
+}
+
+bool TargetGate::MakeRoom(const GateRequest& request,
+                          std::vector<GateAction>& actions) {
+  const auto fits = [this, &request] {
+    return this->waiting.size() < this->limits.queue_length &&
+           this->waiting.bytes() + request.bytes <= this->limits.queue_bytes;
+  };
+  while (!fits()) {
+    const std::optional<WaitingRequest> last =
+        this->waiting.PopLastBelow(request.priority);
+    if (!last) {
+      return false;
+    }
+    actions.emplace_back(RejectAttempt{last->request.id, Reason::kQueueFull});
+  }
+  return true;
 }
 
 std::vector<GateAction> TargetGate::Cancel(const AttemptId& id,
                                            Reason reason,
                                            TimePoint now) {
   std::vector<GateAction> actions;
-  const auto queued = std::find_if(
-      this->waiting.begin(), this->waiting.end(),
-      [&id](const Waiting& entry) { return entry.request.id == id; });
-  if (queued != this->waiting.end()) {
-    this->waiting.erase(queued);
+  const auto found = this->running.find(id);
+  if (this->waiting.Remove(id)) {
     actions.emplace_back(RejectAttempt{id, reason});
-  } else if (this->running.contains(id)) {
-    // The slot stays in use until the target has answered or the connection is
-    // closed.
+  } else if (found != this->running.end() && !found->second.aborted) {
+    // The slot stays in use until the exchange has ended.
+    found->second.aborted = true;
     actions.emplace_back(AbortAttempt{id, reason});
   }
-  this->Fill(now, actions);
-  return actions;
+  return this->Advance(now, std::move(actions));
 }
 
 std::vector<GateAction> TargetGate::OnReply(const AttemptId& id,
@@ -69,116 +131,199 @@
                                             const TargetReport& report,
                                             TimePoint now) {
   std::vector<GateAction> actions;
-  this->running.erase(id);
-  this->is_draining = report.draining;
-  if (report.start_id != this->start_id) {
-    this->start_id = report.start_id;
-    this->BecomeCold(actions);
-  }
-  if (this->is_cold && outcome == ReplyOutcome::kOk) {
-    // One more request in parallel for each full round of successes.
-    ++this->cold_successes;
-    if (this->cold_successes >= this->cold_window) {
-      this->cold_successes = 0;
-      ++this->cold_window;
+  const auto found = this->running.find(id);
+  if (found == this->running.end()) {
+    ++this->unknown_reply_count;
+    // It is not known whether the reply is old or the target has restarted.
+    // Assuming a restart costs a ramp; ignoring one could overload the target.
+    if (!report.start_id.empty() && !this->start_id.empty() &&
+        report.start_id != this->start_id) {
+      this->BecomeCold(this->limits.cold_limit, actions);
     }
-    this->is_cold = this->cold_window < this->limits.slots;
+    return this->Advance(now, std::move(actions));
   }
-  if (const std::optional<Reason> closed = this->Closed()) {
-    this->RejectAll(*closed, actions);
+  const Running exchange = std::move(found->second);
+  this->running.erase(found);
+  this->LearnState(exchange, report, now, actions);
+  if (outcome == ReplyOutcome::kOk) {
+    this->cold_start.OnSuccess(exchange.epoch, this->limits.slots);
+    if (!exchange.aborted) {
+      this->service_time.Add(now - exchange.dispatched, now);
+    }
+  }
+  return this->Advance(now, std::move(actions));
+}
+
+void TargetGate::LearnState(const Running& exchange,
+                            const TargetReport& report,
+                            TimePoint now,
+                            std::vector<GateAction>& actions) {
+  const bool known = report.start_id.empty() || this->start_id.empty() ||
+                     report.start_id == this->start_id;
+  if (!known && exchange.epoch < this->cold_start.epoch()) {
+    return;  // a late reply of the process before the restart
+  }
+  if (!known) {
+    this->BecomeCold(this->limits.cold_limit, actions);
+    this->drain.Clear();
+  }
+  if (!report.start_id.empty()) {
+    this->start_id = report.start_id;
+  }
+  // A reply without the mark does not end it: the exchange began before the
+  // mark was set, because nothing is dispatched afterwards.
+  if (report.draining) {
+    this->drain.Set(now + this->limits.drain_hold);
   }
-  this->Fill(now, actions);
-  return actions;
+}
+
+std::vector<GateAction> TargetGate::OnExchangeEnded(const AttemptId& id,
+                                                    TimePoint now) {
+  this->running.erase(id);
+  return this->Advance(now);
 }
 
 std::vector<GateAction> TargetGate::OnConnectionLost(const AttemptId& id,
                                                      TimePoint now) {
   std::vector<GateAction> actions;
   this->running.erase(id);
-  this->BecomeCold(actions);
-  this->Fill(now, actions);
-  return actions;
+  this->BecomeCold(this->limits.cold_limit, actions);
+  return this->Advance(now, std::move(actions));
 }
 
 std::vector<GateAction> TargetGate::SetLimits(GateLimits gate_limits,
                                               TimePoint now) {
-  std::vector<GateAction> actions;
+  this->cold_start.SetColdLimit(gate_limits.cold_limit, this->limits.slots);
+  this->waiting.SetGuaranteedShare(gate_limits.lowest_class_per_mille);
+  this->shedder.SetBounds(gate_limits.shed_bounds);
   this->limits = gate_limits;
-  this->Fill(now, actions);
-  return actions;
+  return this->Advance(now);
 }
 
 std::vector<GateAction> TargetGate::SetAdmission(GateAdmission gate_admission,
                                                  TimePoint now) {
-  std::vector<GateAction> actions;
   this->admission = gate_admission;
-  if (const std::optional<Reason> closed = this->Closed()) {
-    this->RejectAll(*closed, actions);
-  }
-  this->Fill(now, actions);
-  return actions;
+  return this->Advance(now);
 }
 
 std::vector<GateAction> TargetGate::OnTimer(TimePoint now) {
+  return this->Advance(now);
+}
+
+std::vector<GateAction> TargetGate::EndDrain(TimePoint now) {
   std::vector<GateAction> actions;
-  std::erase_if(this->waiting, [now, &actions](const Waiting& entry) {
-    if (entry.request.deadline > now) {
-      return false;
+  if (this->drain.draining()) {
+    this->drain.Clear();
+    this->BecomeCold(this->limits.cold_limit, actions);
+  }
+  return this->Advance(now, std::move(actions));
+}
+
+std::optional<TimePoint> TargetGate::NextTimer() const {
+  std::optional<TimePoint> next = this->waiting.EarliestDeadline();
+  if (next && this->zero_since) {
+    next = std::min(*next, *this->zero_since + this->limits.zero_window_wait);
+  }
+  return next;
+}
+
+void TargetGate::BecomeCold(std::uint32_t limit,
+                            std::vector<GateAction>& actions) {
+  this->cold_start.Drop(limit);
+  this->AbortExcess(actions);
+}
+
+void TargetGate::AbortExcess(std::vector<GateAction>& actions) {
+  // A non-idempotent exchange is left alone, because its outcome would be lost.
+  std::size_t remaining = 0;
+  std::vector<Running*> candidates;
+  for (auto& [id, exchange] : this->running) {
+    remaining += exchange.aborted ? 0 : 1;
+    if (!exchange.aborted && exchange.request.idempotent) {
+      candidates.push_back(&exchange);
     }
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Running* left, const Running* right) {
+              return std::tie(left->request.priority, left->dispatched,
+                              left->request.id) >
+                     std::tie(right->request.priority, right->dispatched,
+                              right->request.id);
+            });
+  for (Running* exchange : candidates) {
+    if (remaining <= this->window()) {
+      return;
+    }
+    exchange->aborted = true;
+    --remaining;
     actions.emplace_back(
-        RejectAttempt{entry.request.id, Reason::kDeadlineElapsed});
-    return true;
-  });
+        AbortAttempt{exchange->request.id, Reason::kTargetColdLimit});
+  }
+}
+
+std::vector<GateAction> TargetGate::Advance(TimePoint now,
+                                            std::vector<GateAction> actions) {
+  if (this->drain.Expire(now)) {
+    this->BecomeCold(std::min(1U, this->limits.cold_limit), actions);
+  }
+  if (const std::optional<Reason> closed = this->Closed()) {
+    Reject(this->waiting.PopAll(), *closed, actions);
+  }
+  this->RejectHopeless(now, actions);
+  this->TrackZeroWindow(now, actions);
   this->Fill(now, actions);
   return actions;
 }
 
-void TargetGate::BecomeCold(std::vector<GateAction>& actions) {
-  this->is_cold = true;
-  this->cold_successes = 0;
-  this->cold_window = this->limits.cold_limit;
-  if (this->running.size() <= this->cold_window) {
+void TargetGate::RejectHopeless(TimePoint now,
+                                std::vector<GateAction>& actions) {
+  Reject(this->waiting.PopDue(now), Reason::kDeadlineElapsed, actions);
+  if (const std::optional<Duration> service = this->service_time.Get(now)) {
+    Reject(this->waiting.PopDue(now + *service - Duration(1)),
+           Reason::kDeadlineTooShort, actions);
+  }
+}
+
+void TargetGate::TrackZeroWindow(TimePoint now,
+                                 std::vector<GateAction>& actions) {
+  if (this->window() > 0) {
+    this->zero_since.reset();
     return;
   }
-  std::size_t excess = this->running.size() - this->cold_window;
-  for (const auto& [id, request] : this->running) {
-    if (excess == 0) {
-      break;
-    }
-    if (request.idempotent) {
-      actions.emplace_back(AbortAttempt{id, Reason::kTargetColdLimit});
-      --excess;
-    }
+  if (!this->zero_since) {
+    this->zero_since = now;
+  }
+  // A change of the membership view can close the window for a moment, so the
+  // queue is not rejected at once.
+  if (now >= *this->zero_since + this->limits.zero_window_wait) {
+    Reject(this->waiting.PopAll(),
+           this->limits.slots == 0 ? Reason::kTargetSlotsBusy
+                                   : Reason::kTargetColdLimit,
+           actions);
   }
 }
 
 void TargetGate::Fill(TimePoint now, std::vector<GateAction>& actions) {
-  while (!this->waiting.empty() && this->running.size() < this->window() &&
-         !this->Closed()) {
-    const auto next = std::min_element(
-        this->waiting.begin(), this->waiting.end(),
-        [](const Waiting& left, const Waiting& right) {
-          return std::tie(left.request.priority, left.request.deadline,
-                          left.sequence) < std::tie(right.request.priority,
-                                                    right.request.deadline,
-                                                    right.sequence);
-        });
-    const GateRequest request = next->request;
-    this->waiting.erase(next);
-    if (request.deadline <= now) {
-      actions.emplace_back(RejectAttempt{request.id, Reason::kDeadlineElapsed});
-      continue;
+  while (this->running.size() < this->window()) {
+    std::optional<WaitingRequest> next = this->waiting.PopNext();
+    if (!next) {
+      return;
     }
-    this->running.emplace(request.id, request);
-    actions.emplace_back(DispatchAttempt{request.id});
+    this->shedder.OnStart(next->request.priority, now - next->enqueued, now);
+    const AttemptId id = next->request.id;
+    this->running.emplace(id, Running{.request = std::move(next->request),
+                                      .dispatched = now,
+                                      .epoch = this->cold_start.epoch()});
+    actions.emplace_back(DispatchAttempt{id});
   }
 }
 
-void TargetGate::RejectAll(Reason reason, std::vector<GateAction>& actions) {
-  for (const Waiting& entry : this->waiting) {
+void TargetGate::Reject(const std::vector<WaitingRequest>& requests,
+                        Reason reason,
+                        std::vector<GateAction>& actions) {
+  for (const WaitingRequest& entry : requests) {
     actions.emplace_back(RejectAttempt{entry.request.id, reason});
   }
-  this->waiting.clear();
 }
 
 }  // namespace auburnyard
