Make the query machine exact about run state, retries, hedges and merging

A refusal that can still become "not_run" waits up to 5 ms (never past the deadline) for the cancelled attempts to confirm their state; to report "unknown" at once was ruled out, because callers repeat such requests at their own risk. Merger bounds the answer in items and bytes and orders it by key; too large an answer is refused with the new kind answer_too_large.

Work rejected before dispatch moves to an untried replica free of charge. A gate no longer aborts a non-idempotent exchange on cancellation.

--- a/include/auburnyard/error.h
+++ b/include/auburnyard/error.h
@@ -37,6 +37,7 @@
   kConnection,
   kProtocol,
   kInternal,
+  kAnswerTooLarge,
 };
 
 /// Whether the work of a refused request was executed.
--- a/include/auburnyard/query_machine.h
+++ b/include/auburnyard/query_machine.h
@@ -6,14 +6,14 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include <boost/json/array.hpp>
 
+#include "auburnyard/attempt_table.h"
 #include "auburnyard/clock.h"
-#include "auburnyard/coverage.h"
+#include "auburnyard/merger.h"
 #include "auburnyard/query.h"
 #include "auburnyard/reason.h"
 #include "auburnyard/shard_map.h"
@@ -37,9 +37,11 @@
 };
 struct FinishWithAnswer {
   Answer answer;
+  Reason reason = Reason::kCompleted;
 };
 struct FinishWithRefusal {
   Refusal refusal;
+  Reason reason = Reason::kCompleted;
 };
 using QueryAction = std::
     variant<StartAttempt, CancelAttempt, FinishWithAnswer, FinishWithRefusal>;
@@ -49,12 +51,15 @@
   std::string snapshot;
   KeyRange range;
   boost::json::array items;
+  AttemptId attempt = {};  ///< as named by the reply; empty: not checked
 };
 
 /// Why an attempt ended without a result, and whether it may have run.
 struct AttemptFailure {
   Reason reason = Reason::kRetryConnectionFailed;
   RunState run = RunState::kUnknown;
+  /// False: dispatched by the gate, but no byte reached the network.
+  bool sent = true;
 };
 
 /// Behaviour of a query that varies by policy.
@@ -70,6 +75,11 @@
   /// Newest shard map of the service, for a restart after a snapshot change.
   /// May return null.
   std::function<std::shared_ptr<const ShardMap>()> newest_map;
+  /// Called for each first attempt; the budgets are shares of these.
+  std::function<void()> note_first_attempt;
+  /// Called for a decision that causes no action: an empty budget, no replica
+  /// left, or a discarded reply.
+  std::function<void(Reason)> note;
 };
 
 struct QueryPolicy {
@@ -78,6 +88,14 @@
   Duration deadline_margin =
       std::chrono::milliseconds(5);  ///< answer this long before the deadline
   std::uint32_t max_restarts = 2;
+  std::uint32_t max_hedges = 1;   ///< charged hedges per shard
+  std::uint32_t max_retries = 3;  ///< charged retries per shard
+  /// Wait before a target that was tried is used again; doubles each time.
+  Duration retry_delay = std::chrono::milliseconds(20);
+  /// A refusal waits this long for cancelled attempts to confirm their state.
+  Duration confirm_wait = std::chrono::milliseconds(5);
+  double min_coverage = 0.0;  ///< of the service; the request may ask for more
+  MergeLimits merge_limits = {};
 };
 
 /// State machine of one query. No I/O: events and time in, actions out. Not
@@ -101,7 +119,8 @@
                                      AttemptFailure failure,
                                      TimePoint now);
   std::vector<QueryAction> OnTimer(TimePoint now);
-  /// The caller closed its connection.
+  /// The caller closed its connection. An idempotent query ends at once. A
+  /// non-idempotent one goes on until its outcome is known.
   std::vector<QueryAction> OnCallerGone(TimePoint now);
 
   /// Time of the next OnTimer call; empty when finished.
@@ -109,32 +128,71 @@
   bool finished() const { return this->is_finished; }
   TimePoint deadline() const { return this->deadline_at; }
   const std::string& decision() const { return this->decision_id; }
+  /// Replies that named another attempt, snapshot or range, or came too late.
+  std::uint64_t discarded_replies() const { return this->discarded; }
 
  private:
-  struct Attempt {
-    std::size_t shard = 0;
-    std::string target;
-    bool dispatched = false;
-    bool done = false;
-  };
+  using Actions = std::vector<QueryAction>;
   struct ShardState {
     bool done = false;
-    bool hedged = false;
-    std::uint32_t live = 0;
-    TimePoint started;
+    std::uint32_t retries = 0;
+    std::uint32_t hedges = 0;
+    TimePoint hedge_at = TimePoint::max();
+    std::optional<TimePoint> retry_at;
+    std::optional<Reason> failure;  // the last one
     std::vector<std::string> tried;
+    std::vector<Attempt*> attempts;
+  };
+  struct Replica {
+    std::string target;
+    bool tried = false;
   };
 
-  bool StartShard(std::size_t shard,
-                  Reason reason,
-                  TimePoint now,
-                  std::vector<QueryAction>& actions);
-  void CancelLive(Reason reason, std::vector<QueryAction>& actions);
-  void Restart(TimePoint now, std::vector<QueryAction>& actions);
-  void PinMap(std::shared_ptr<const ShardMap> map);
-  void FinishIfSettled(TimePoint now, std::vector<QueryAction>& actions);
-  void Finish(std::vector<QueryAction>& actions, Reason reason);
-  RunState CurrentRunState() const;
+  bool Live(const Attempt& attempt) const;
+  bool AnyLive(const ShardState& state) const;
+  bool AnyLiveDispatched(const ShardState& state) const;
+  bool Exhausted(const ShardState& state) const;
+  std::optional<Replica> PickReplica(std::size_t shard) const;
+  bool TakeRetry(ShardState& state);
+  bool TakeHedge() const;
+  void Note(Reason reason) const;
+  void Discard();
+
+  void PinMap(std::shared_ptr<const ShardMap> newest);
+  void StartShards(Reason reason, TimePoint now, Actions& actions);
+  void StartAt(std::size_t shard,
+               const std::string& target,
+               Reason reason,
+               bool charged,
+               TimePoint now,
+               Actions& actions);
+  void Merge(Attempt& attempt,
+             PartialResult result,
+             TimePoint now,
+             Actions& actions);
+  void OnShardFailed(std::size_t shard,
+                     Reason reason,
+                     bool charged,
+                     TimePoint now,
+                     Actions& actions);
+  bool MayRepeat(const Attempt& attempt, const AttemptFailure& failure) const;
+  void OnSnapshotChanged(std::size_t shard, TimePoint now, Actions& actions);
+  bool MayRestart(const ShardMap* newest, TimePoint now);
+  void ChargeTie(Attempt& attempt, ShardState& state) const;
+  void RunDueRetries(TimePoint now, Actions& actions);
+  void RunDueHedges(TimePoint now, Actions& actions);
+  void Hedge(std::size_t shard, TimePoint now, Actions& actions);
+
+  TimePoint LastTime() const;
+  double RequiredCoverage() const;
+  bool Enough() const;
+  bool Reachable() const;
+  void Settle(TimePoint now, Actions& actions);
+  void Close(Reason reason, TimePoint now, Actions& actions);
+  void Finish(Actions& actions);
+  void CancelShard(ShardState& state, Reason reason, Actions& actions) const;
+  void CancelLive(Reason reason, Actions& actions);
+  ErrorKind RefusalKind(RunState run) const;
 
   std::string decision_id;
   QueryRequest request;
@@ -142,14 +200,15 @@
   QueryPolicy policy;
   QueryHooks hooks;
   TimePoint deadline_at;
-  std::optional<Coverage> coverage;
-  boost::json::array items;
+  std::optional<Merger> merger;
   std::vector<ShardState> shards;
-  std::unordered_map<AttemptId, Attempt> attempts;
-  std::uint64_t next_attempt = 0;
+  AttemptTable attempts;
+  std::uint32_t generation = 0;
   std::uint32_t restarts = 0;
-  bool any_dispatched = false;
-  bool any_ran = false;
+  std::uint64_t discarded = 0;
+  std::optional<TimePoint> closing_until;
+  Reason end_reason = Reason::kCompleted;
+  bool answer_too_large = false;
   bool is_finished = false;
 };
 
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -13,7 +13,7 @@
 constexpr int kExitConflict = 5;
 constexpr int kExitInternal = 70;
 
-constexpr std::array<ErrorDescription, 25> kErrors = {{
+constexpr std::array<ErrorDescription, 26> kErrors = {{
     {ErrorKind::kBadRequest, "bad_request", 400, "The request is malformed",
      kExitUsage},
     {ErrorKind::kNotFound, "not_found", 404, "The resource does not exist",
@@ -64,6 +64,8 @@
      kExitUnavailable},
     {ErrorKind::kInternal, "internal", 500, "An internal error occurred",
      kExitInternal},
+    {ErrorKind::kAnswerTooLarge, "answer_too_large", 422,
+     "The merged answer exceeds its limit", kExitRefused},
 }};
 
 constexpr std::array<std::string_view, 3> kRunStates = {"not_run", "unknown",
--- a/src/core/query_machine.cc
+++ b/src/core/query_machine.cc
@@ -15,265 +15,417 @@
       request(std::move(query)),
       policy(query_policy),
       hooks(std::move(query_hooks)),
-      deadline_at(now + this->request.deadline) {
+      deadline_at(now + this->request.deadline),
+      attempts(this->decision_id) {
   this->PinMap(std::move(shard_map));
 }
 
-void QueryMachine::PinMap(std::shared_ptr<const ShardMap> shard_map) {
-  this->map = std::move(shard_map);
-  std::vector<KeyRange> ranges;
-  for (const Shard& shard : this->map->shards) {
-    ranges.push_back(shard.range);
-  }
-  this->coverage.emplace(std::move(ranges));
-  this->items.clear();
+void QueryMachine::PinMap(std::shared_ptr<const ShardMap> newest) {
+  this->map = std::move(newest);
+  this->merger.emplace(*this->map, this->policy.merge_limits);
   this->shards.assign(this->map->shards.size(), {});
+  ++this->generation;
 }
 
 std::vector<QueryAction> QueryMachine::Start(TimePoint now) {
-  std::vector<QueryAction> actions;
-  for (std::size_t i = 0; i < this->shards.size(); ++i) {
-    this->StartShard(i, Reason::kFirstAttempt, now, actions);
+  Actions actions;
+  if (this->hooks.note_first_attempt) {
+    for (std::size_t i = 0; i < this->shards.size(); ++i) {
+      this->hooks.note_first_attempt();
+    }
   }
-  this->FinishIfSettled(now, actions);
+  this->StartShards(Reason::kFirstAttempt, now, actions);
   return actions;
 }
 
-bool QueryMachine::StartShard(std::size_t index,
-                              Reason reason,
-                              TimePoint now,
-                              std::vector<QueryAction>& actions) {
-  ShardState& state = this->shards[index];
-  const Shard& shard = this->map->shards[index];
-  const std::vector<std::string> order =
-      this->hooks.order_replicas(shard, state.tried);
-  if (order.empty()) {
-    return false;
+void QueryMachine::StartShards(Reason reason, TimePoint now, Actions& actions) {
+  for (std::size_t i = 0; i < this->shards.size(); ++i) {
+    if (const std::optional<Replica> replica = this->PickReplica(i)) {
+      this->StartAt(i, replica->target, reason, true, now, actions);
+    } else {
+      this->shards[i].failure = Reason::kNoReplicaLeft;
+      this->Note(Reason::kNoReplicaLeft);
+    }
   }
-  const std::string& target = order.front();
-  const AttemptId id =
-      this->decision_id + "." + std::to_string(this->next_attempt++);
-  this->attempts.emplace(id, Attempt{.shard = index, .target = target});
+  this->Settle(now, actions);
+}
+
+void QueryMachine::StartAt(std::size_t shard,
+                           const std::string& target,
+                           Reason reason,
+                           bool charged,
+                           TimePoint now,
+                           Actions& actions) {
+  ShardState& state = this->shards[shard];
+  Attempt& attempt = this->attempts.Add({.id = {},
+                                         .target = target,
+                                         .shard = shard,
+                                         .generation = this->generation,
+                                         .charged = charged});
+  state.attempts.push_back(&attempt);
   state.tried.push_back(target);
-  ++state.live;
-  state.started = now;
-  actions.emplace_back(StartAttempt{id, target, shard.id, shard.range,
+  state.retry_at.reset();
+  state.hedge_at = now + this->policy.hedge_delay;
+  const Shard& part = this->map->shards[shard];
+  actions.emplace_back(StartAttempt{attempt.id, target, part.id, part.range,
                                     this->map->snapshot, reason});
-  return true;
 }
 
 std::vector<QueryAction> QueryMachine::OnDispatched(const AttemptId& id,
-                                                    TimePoint /*now*/) {
-  std::vector<QueryAction> actions;
-  const auto found = this->attempts.find(id);
-  if (found != this->attempts.end()) {
-    found->second.dispatched = true;
-    this->any_dispatched = true;
+                                                    TimePoint now) {
+  Actions actions;
+  Attempt* attempt = this->attempts.Find(id);
+  if (attempt == nullptr || this->is_finished) {
+    return actions;
+  }
+  attempt->dispatched = true;
+  if (attempt->generation == this->generation && !attempt->ended) {
+    this->ChargeTie(*attempt, this->shards[attempt->shard]);
+  }
+  if (this->Live(*attempt)) {
+    ShardState& state = this->shards[attempt->shard];
+    state.hedge_at = now + this->policy.hedge_delay;
+    for (Attempt* other : state.attempts) {
+      if (this->Live(*other) && !other->dispatched) {
+        other->cancelled = true;
+        std::erase(state.tried, other->target);
+        actions.emplace_back(CancelAttempt{other->id, other->target,
+                                           Reason::kCancelledByWinner});
+      }
+    }
   }
+  this->Settle(now, actions);
   return actions;
 }
 
+// A hedge of a queued attempt is free because one of the two is cancelled
+// before its dispatch. If both owners dispatched before the cancellation
+// arrived, the extra load is charged afterwards.
+void QueryMachine::ChargeTie(Attempt& attempt, ShardState& state) const {
+  for (Attempt* other : state.attempts) {
+    if (other == &attempt || other->ended || !other->dispatched) {
+      continue;
+    }
+    for (Attempt* one : {&attempt, other}) {
+      if (!one->charged) {
+        one->charged = true;
+        this->TakeHedge();
+      }
+    }
+  }
+}
+
 std::vector<QueryAction> QueryMachine::OnResult(const AttemptId& id,
                                                 PartialResult result,
                                                 TimePoint now) {
-  std::vector<QueryAction> actions;
-  const auto found = this->attempts.find(id);
-  if (this->is_finished || found == this->attempts.end() ||
-      found->second.done) {
+  Actions actions;
+  Attempt* attempt = this->attempts.Find(id);
+  if (attempt == nullptr) {
+    this->Discard();
     return actions;
   }
-  Attempt& attempt = found->second;
-  attempt.done = true;
-  this->any_ran = true;
-  ShardState& state = this->shards[attempt.shard];
-  --state.live;
-  if (result.snapshot != this->map->snapshot) {
-    this->Restart(now, actions);
-    return actions;
+  if (!result.attempt.empty() && result.attempt != id) {
+    this->Discard();
+    return this->OnFailure(id, {Reason::kRetryBadReply, RunState::kUnknown},
+                           now);
   }
-  const bool expected = result.range == this->map->shards[attempt.shard].range;
-  if (!state.done && expected && this->coverage->Add(result.range)) {
-    state.done = true;
-    this->items.insert(this->items.end(), result.items.begin(),
-                       result.items.end());
-    for (auto& [other_id, other] : this->attempts) {
-      if (other.shard == attempt.shard && !other.done) {
-        other.done = true;
-        --state.live;
-        actions.emplace_back(
-            CancelAttempt{other_id, other.target, Reason::kCancelledByWinner});
-      }
-    }
+  attempt->ended = RunState::kRun;
+  if (this->is_finished || attempt->generation != this->generation ||
+      this->shards[attempt->shard].done) {
+    this->Discard();
+  } else if (result.snapshot != this->map->snapshot) {
+    this->Discard();
+    this->OnSnapshotChanged(attempt->shard, now, actions);
+  } else {
+    this->Merge(*attempt, std::move(result), now, actions);
   }
-  this->FinishIfSettled(now, actions);
+  this->Settle(now, actions);
   return actions;
 }
 
+void QueryMachine::Merge(Attempt& attempt,
+                         PartialResult result,
+                         TimePoint now,
+                         Actions& actions) {
+  const std::size_t shard = attempt.shard;
+  const bool expected = result.range == this->map->shards[shard].range;
+  const MergeOutcome outcome =
+      expected ? this->merger->Add(result.range, std::move(result.items))
+               : MergeOutcome::kWrongRange;
+  switch (outcome) {
+    case MergeOutcome::kMerged:
+      this->shards[shard].done = true;
+      this->shards[shard].retry_at.reset();
+      this->CancelShard(this->shards[shard], Reason::kCancelledByWinner,
+                        actions);
+      return;
+    case MergeOutcome::kTooLarge:
+      this->answer_too_large = true;
+      this->Close(Reason::kCoverageTooLow, now, actions);
+      return;
+    case MergeOutcome::kWrongRange:
+      this->Discard();
+      this->OnShardFailed(shard, Reason::kRetryBadReply, true, now, actions);
+      return;
+  }
+}
+
 std::vector<QueryAction> QueryMachine::OnFailure(const AttemptId& id,
                                                  AttemptFailure failure,
                                                  TimePoint now) {
-  std::vector<QueryAction> actions;
-  const auto found = this->attempts.find(id);
-  if (this->is_finished || found == this->attempts.end() ||
-      found->second.done) {
+  Actions actions;
+  Attempt* attempt = this->attempts.Find(id);
+  if (attempt == nullptr) {
     return actions;
   }
-  Attempt& attempt = found->second;
-  attempt.done = true;
-  if (failure.run == RunState::kNotRun) {
-    attempt.dispatched = false;
+  const bool live = this->Live(*attempt);
+  // Only an unknown end can become better known by a later message.
+  if (!attempt->ended || attempt->ended == RunState::kUnknown) {
+    attempt->ended = failure.run;
   }
-  const std::size_t index = attempt.shard;
-  ShardState& state = this->shards[index];
-  --state.live;
-  if (failure.reason == Reason::kRestartSnapshotChanged) {
-    this->Restart(now, actions);
-    return actions;
-  }
-  const bool may_repeat =
-      this->request.idempotent || failure.run == RunState::kNotRun;
-  if (!state.done && state.live == 0 && may_repeat &&
-      this->hooks.take_retry()) {
-    this->StartShard(index, failure.reason, now, actions);
+  if (live) {
+    const bool charged = attempt->dispatched && failure.sent;
+    if (failure.reason == Reason::kRestartSnapshotChanged) {
+      this->OnSnapshotChanged(attempt->shard, now, actions);
+    } else if (this->MayRepeat(*attempt, failure)) {
+      this->OnShardFailed(attempt->shard, failure.reason, charged, now,
+                          actions);
+    } else {
+      this->shards[attempt->shard].failure = failure.reason;
+    }
   }
-  this->FinishIfSettled(now, actions);
+  this->Settle(now, actions);
   return actions;
 }
 
+bool QueryMachine::MayRepeat(const Attempt& attempt,
+                             const AttemptFailure& failure) const {
+  return this->request.idempotent || (failure.run == RunState::kNotRun &&
+                                      (!attempt.dispatched || !failure.sent));
+}
+
+// Moves work that was rejected before its dispatch to a replica that was not
+// tried; this costs no target load and no budget. Everything else is a retry.
+void QueryMachine::OnShardFailed(std::size_t shard,
+                                 Reason reason,
+                                 bool charged,
+                                 TimePoint now,
+                                 Actions& actions) {
+  ShardState& state = this->shards[shard];
+  state.failure = reason;
+  if (this->is_finished || this->closing_until || state.done ||
+      this->AnyLive(state)) {
+    return;
+  }
+  const std::optional<Replica> replica = this->PickReplica(shard);
+  if (!replica) {
+    this->Note(Reason::kNoReplicaLeft);
+    return;
+  }
+  if ((charged || replica->tried) && !this->TakeRetry(state)) {
+    return;
+  }
+  if (!replica->tried) {
+    this->StartAt(shard, replica->target, reason, true, now, actions);
+    return;
+  }
+  const Duration delay = this->policy.retry_delay * (1U << (state.retries - 1));
+  if (now + delay < this->LastTime()) {
+    state.retry_at = now + delay;
+  }
+}
+
+bool QueryMachine::TakeRetry(ShardState& state) {
+  if (state.retries >= this->policy.max_retries || !this->hooks.take_retry ||
+      !this->hooks.take_retry()) {
+    this->Note(Reason::kRetryBudgetEmpty);
+    return false;
+  }
+  ++state.retries;
+  return true;
+}
+
+bool QueryMachine::TakeHedge() const {
+  return this->hooks.take_hedge && this->hooks.take_hedge();
+}
+
+void QueryMachine::OnSnapshotChanged(std::size_t shard,
+                                     TimePoint now,
+                                     Actions& actions) {
+  std::shared_ptr<const ShardMap> newest =
+      this->hooks.newest_map ? this->hooks.newest_map() : nullptr;
+  if (this->MayRestart(newest.get(), now)) {
+    this->CancelLive(Reason::kRestartSnapshotChanged, actions);
+    ++this->restarts;
+    this->PinMap(std::move(newest));
+    this->StartShards(Reason::kRestartSnapshotChanged, now, actions);
+    return;
+  }
+  // Another replica may still hold the pinned snapshot.
+  if (this->request.idempotent) {
+    this->OnShardFailed(shard, Reason::kRestartSnapshotChanged, true, now,
+                        actions);
+  } else {
+    this->shards[shard].failure = Reason::kRestartSnapshotChanged;
+  }
+}
+
+// A non-idempotent query never restarts: the snapshot change becomes known only
+// after a dispatch.
+bool QueryMachine::MayRestart(const ShardMap* newest, TimePoint now) {
+  return this->request.idempotent && !this->is_finished &&
+         !this->closing_until && newest != nullptr &&
+         newest->snapshot != this->map->snapshot &&
+         newest->revision >= this->map->revision &&
+         this->restarts < this->policy.max_restarts && now < this->LastTime() &&
+         this->hooks.take_retry && this->hooks.take_retry();
+}
+
 std::vector<QueryAction> QueryMachine::OnTimer(TimePoint now) {
-  std::vector<QueryAction> actions;
+  Actions actions;
   if (this->is_finished) {
     return actions;
   }
-  const TimePoint last = this->policy.early_answer
-                             ? this->deadline_at - this->policy.deadline_margin
-                             : this->deadline_at;
-  if (now >= last) {
-    this->Finish(actions, Reason::kEarlyAnswer);
+  if (this->closing_until) {
+    if (now >= *this->closing_until) {
+      this->Finish(actions);
+    }
     return actions;
   }
-  if (this->policy.hedge_delay > Duration::zero() && this->request.idempotent) {
-    for (std::size_t i = 0; i < this->shards.size(); ++i) {
-      ShardState& state = this->shards[i];
-      if (state.done || state.hedged || state.live == 0 ||
-          now < state.started + this->policy.hedge_delay) {
-        continue;
-      }
-      state.hedged = true;
-      if (this->hooks.take_hedge()) {
-        this->StartShard(i, Reason::kHedgeDelayElapsed, now, actions);
-      }
-    }
+  if (now >= this->LastTime()) {
+    this->Close(this->policy.early_answer ? Reason::kEarlyAnswer
+                                          : Reason::kDeadlineElapsed,
+                now, actions);
+    return actions;
   }
+  this->RunDueRetries(now, actions);
+  this->RunDueHedges(now, actions);
+  this->Settle(now, actions);
   return actions;
 }
 
-std::vector<QueryAction> QueryMachine::OnCallerGone(TimePoint /*now*/) {
-  std::vector<QueryAction> actions;
-  if (!this->is_finished) {
-    this->is_finished = true;
-    this->CancelLive(Reason::kCancelledByCaller, actions);
+void QueryMachine::RunDueRetries(TimePoint now, Actions& actions) {
+  for (std::size_t i = 0; i < this->shards.size(); ++i) {
+    ShardState& state = this->shards[i];
+    if (!state.retry_at || now < *state.retry_at) {
+      continue;
+    }
+    state.retry_at.reset();
+    if (const std::optional<Replica> replica = this->PickReplica(i)) {
+      this->StartAt(i, replica->target,
+                    state.failure.value_or(Reason::kFirstAttempt), true, now,
+                    actions);
+    }
+  }
+}
+
+void QueryMachine::RunDueHedges(TimePoint now, Actions& actions) {
+  if (!this->request.idempotent ||
+      this->policy.hedge_delay <= Duration::zero()) {
+    return;
   }
-  return actions;
+  for (std::size_t i = 0; i < this->shards.size(); ++i) {
+    const ShardState& state = this->shards[i];
+    if (!state.done && now >= state.hedge_at && this->AnyLive(state)) {
+      this->Hedge(i, now, actions);
+    }
+  }
+}
+
+void QueryMachine::Hedge(std::size_t shard, TimePoint now, Actions& actions) {
+  ShardState& state = this->shards[shard];
+  const bool free = !this->AnyLiveDispatched(state);
+  const std::optional<Replica> replica = this->PickReplica(shard);
+  // A target that was tried failed or rejected the shard a moment ago; it is
+  // not worth a hedge.
+  if (!replica || replica->tried ||
+      (!free && state.hedges >= this->policy.max_hedges)) {
+    state.hedge_at = TimePoint::max();
+    return;
+  }
+  if (!free && !this->TakeHedge()) {
+    this->Note(Reason::kHedgeBudgetEmpty);
+    state.hedge_at = now + this->policy.hedge_delay;
+    return;
+  }
+  state.hedges += free ? 0 : 1;
+  this->StartAt(shard, replica->target, Reason::kHedgeDelayElapsed, !free, now,
+                actions);
 }
 
 std::optional<TimePoint> QueryMachine::NextTimer() const {
   if (this->is_finished) {
     return std::nullopt;
   }
-  TimePoint next = this->policy.early_answer
-                       ? this->deadline_at - this->policy.deadline_margin
-                       : this->deadline_at;
-  if (this->policy.hedge_delay > Duration::zero() && this->request.idempotent) {
-    for (const ShardState& state : this->shards) {
-      if (!state.done && !state.hedged && state.live > 0) {
-        next = std::min(next, state.started + this->policy.hedge_delay);
-      }
+  if (this->closing_until) {
+    return this->closing_until;
+  }
+  TimePoint next = this->LastTime();
+  const bool hedging =
+      this->request.idempotent && this->policy.hedge_delay > Duration::zero();
+  for (const ShardState& state : this->shards) {
+    if (state.retry_at) {
+      next = std::min(next, *state.retry_at);
+    }
+    if (hedging && !state.done && this->AnyLive(state)) {
+      next = std::min(next, state.hedge_at);
     }
   }
   return next;
 }
 
-void QueryMachine::CancelLive(Reason reason,
-                              std::vector<QueryAction>& actions) {
-  for (auto& [id, attempt] : this->attempts) {
-    if (!attempt.done) {
-      attempt.done = true;
-      actions.emplace_back(CancelAttempt{id, attempt.target, reason});
+std::optional<QueryMachine::Replica> QueryMachine::PickReplica(
+    std::size_t shard) const {
+  const ShardState& state = this->shards[shard];
+  std::optional<Replica> repeated;
+  for (const std::string& target :
+       this->hooks.order_replicas(this->map->shards[shard], state.tried)) {
+    const bool busy =
+        std::any_of(state.attempts.begin(), state.attempts.end(),
+                    [this, &target](const Attempt* attempt) {
+                      return attempt->target == target && this->Live(*attempt);
+                    });
+    if (busy) {
+      continue;
+    }
+    if (std::find(state.tried.begin(), state.tried.end(), target) ==
+        state.tried.end()) {
+      return Replica{target, false};
+    }
+    if (!repeated) {
+      repeated = Replica{target, true};
     }
   }
+  return repeated;
 }
 
-void QueryMachine::Restart(TimePoint now, std::vector<QueryAction>& actions) {
-  this->CancelLive(Reason::kRestartSnapshotChanged, actions);
-  std::shared_ptr<const ShardMap> newest = this->hooks.newest_map();
-  const bool allowed = this->request.idempotent && newest != nullptr &&
-                       newest->snapshot != this->map->snapshot &&
-                       this->restarts < this->policy.max_restarts &&
-                       this->hooks.take_retry();
-  if (!allowed) {
-    this->Finish(actions, Reason::kSnapshotLost);
-    return;
-  }
-  ++this->restarts;
-  this->PinMap(std::move(newest));
-  for (std::size_t i = 0; i < this->shards.size(); ++i) {
-    this->StartShard(i, Reason::kRestartSnapshotChanged, now, actions);
-  }
-  this->FinishIfSettled(now, actions);
+bool QueryMachine::Live(const Attempt& attempt) const {
+  return !attempt.ended && !attempt.cancelled &&
+         attempt.generation == this->generation;
 }
 
-void QueryMachine::FinishIfSettled(TimePoint /*now*/,
-                                   std::vector<QueryAction>& actions) {
-  const bool settled = std::all_of(
-      this->shards.begin(), this->shards.end(),
-      [](const ShardState& state) { return state.done || state.live == 0; });
-  if (settled && !this->is_finished) {
-    this->Finish(actions, Reason::kCompleted);
-  }
+bool QueryMachine::AnyLive(const ShardState& state) const {
+  return std::any_of(
+      state.attempts.begin(), state.attempts.end(),
+      [this](const Attempt* attempt) { return this->Live(*attempt); });
 }
 
-RunState QueryMachine::CurrentRunState() const {
-  if (this->any_ran) {
-    return RunState::kRun;
-  }
-  const bool dispatched =
-      std::any_of(this->attempts.begin(), this->attempts.end(),
-                  [](const auto& entry) { return entry.second.dispatched; });
-  return dispatched ? RunState::kUnknown : RunState::kNotRun;
+bool QueryMachine::AnyLiveDispatched(const ShardState& state) const {
+  return std::any_of(state.attempts.begin(), state.attempts.end(),
+                     [this](const Attempt* attempt) {
+                       return this->Live(*attempt) && attempt->dispatched;
+                     });
 }
 
-void QueryMachine::Finish(std::vector<QueryAction>& actions, Reason reason) {
-  this->is_finished = true;
-  this->CancelLive(Reason::kCancelledByWinner, actions);
-  const double fraction = this->coverage->Fraction();
-  const bool enough = fraction > 0 && fraction >= this->request.min_coverage;
-  if (enough) {
-    Answer answer;
-    answer.service = this->request.service;
-    answer.snapshot = this->map->snapshot;
-    answer.coverage = fraction;
-    answer.missing = this->coverage->Missing();
-    answer.results = std::move(this->items);
-    answer.decision = this->decision_id;
-    actions.emplace_back(FinishWithAnswer{std::move(answer)});
-    return;
-  }
-  Refusal refusal;
-  refusal.decision = this->decision_id;
-  refusal.run = this->CurrentRunState();
-  if (reason == Reason::kEarlyAnswer) {
-    refusal.kind = ErrorKind::kDeadlineExceeded;
-  } else if (reason == Reason::kSnapshotLost) {
-    refusal.kind = ErrorKind::kSnapshotLost;
-  } else {
-    refusal.kind =
-        fraction > 0 ? ErrorKind::kCoverageTooLow : ErrorKind::kNoCapacity;
+void QueryMachine::Note(Reason reason) const {
+  if (this->hooks.note) {
+    this->hooks.note(reason);
   }
-  refusal.detail = "coverage " + std::to_string(fraction) +
-                   " of the required " +
-                   std::to_string(this->request.min_coverage) + " was reached";
-  actions.emplace_back(FinishWithRefusal{std::move(refusal)});
+}
+
+void QueryMachine::Discard() {
+  ++this->discarded;
+  this->Note(Reason::kReplyDiscarded);
 }
 
 }  // namespace auburnyard
--- a/src/core/target_gate.cc
+++ b/src/core/target_gate.cc
@@ -118,8 +118,10 @@
   const auto found = this->running.find(id);
   if (this->waiting.Remove(id)) {
     actions.emplace_back(RejectAttempt{id, reason});
-  } else if (found != this->running.end() && !found->second.aborted) {
-    // The slot stays in use until the exchange has ended.
+  } else if (found != this->running.end() && !found->second.aborted &&
+             found->second.request.idempotent) {
+    // The slot stays in use until the exchange has ended. A non-idempotent
+    // exchange goes on, because its outcome would be lost.
     found->second.aborted = true;
     actions.emplace_back(AbortAttempt{id, reason});
   }
--- a/test/core_test_support.h
+++ b/test/core_test_support.h
@@ -3,9 +3,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "auburnyard/query_machine.h"
 #include "auburnyard/target_gate.h"
 
 namespace auburnyard::test {
@@ -25,10 +27,30 @@
   return "abort " + action.id + " " + std::string(ToString(action.reason));
 }
 
-/// One line for a list of gate actions, in their order.
-inline std::string Text(const std::vector<GateAction>& actions) {
+inline std::string Describe(const StartAttempt& action) {
+  return "start " + action.id + " " + action.target + " " +
+         std::string(ToString(action.reason));
+}
+inline std::string Describe(const CancelAttempt& action) {
+  return "cancel " + action.id + " " + std::string(ToString(action.reason));
+}
+inline std::string Describe(const FinishWithAnswer& action) {
+  std::string text = "answer " + action.answer.snapshot;
+  for (const boost::json::value& item : action.answer.results) {
+    text += " " + std::string(item.as_string());
+  }
+  return text + " missing " + std::to_string(action.answer.missing.size());
+}
+inline std::string Describe(const FinishWithRefusal& action) {
+  return "refuse " + std::string(DescribeError(action.refusal.kind).name) +
+         " " + std::string(ToString(action.refusal.run));
+}
+
+/// One line for a list of actions, in their order.
+template <typename Action>
+std::string Text(const std::vector<Action>& actions) {
   std::string text;
-  for (const GateAction& action : actions) {
+  for (const Action& action : actions) {
     text += text.empty() ? "" : ", ";
     text += std::visit([](const auto& one) { return Describe(one); }, action);
   }
@@ -54,6 +76,24 @@
   return report;
 }
 
+/// Map with one shard of ten keys for each entry of `replicas`, in which each
+/// letter names a target.
+inline std::shared_ptr<ShardMap> Map(const std::string& snapshot,
+                                     const std::vector<std::string>& replicas,
+                                     std::uint64_t revision = 1) {
+  auto map = std::make_shared<ShardMap>();
+  map->snapshot = snapshot;
+  map->revision = revision;
+  for (std::size_t i = 0; i < replicas.size(); ++i) {
+    Shard shard{"s" + std::to_string(i), {i * 10, i * 10 + 10}, {}};
+    for (const char target : replicas[i]) {
+      shard.targets.emplace_back(1, target);
+    }
+    map->shards.push_back(std::move(shard));
+  }
+  return map;
+}
+
 }  // namespace auburnyard::test
 
 #endif  // AUBURNYARD_TEST_CORE_TEST_SUPPORT_H_
