--- a/src/daemon/gate_runner.cc
+++ b/src/daemon/gate_runner.cc
@@ -132,7 +132,7 @@
       std::vector<GateAction> actions;
       {
         const std::lock_guard lock(self->mutex);
-        actions = self->gate.OnNotSent(id, self->clock.Now());
+        actions = self->gate.OnExchangeEnded(id, self->clock.Now());
       }
       self->Reject(id, Reason::kCancelledByCaller);
       self->Perform(actions);
