--- a/include/auburnyard/configuration.h
+++ b/include/auburnyard/configuration.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_CONFIGURATION_H_
 #define AUBURNYARD_CONFIGURATION_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -8,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
 namespace auburnyard {
@@ -19,6 +21,17 @@
 /// Throws Error(kBadRequest) for an unknown name.
 PriorityClass ParsePriorityClass(std::string_view name);
 
+/// All classes, the one that is served first in front.
+using ClassOrder = std::array<PriorityClass, kPriorityClassCount>;
+inline constexpr ClassOrder kDefaultClassOrder = {
+    PriorityClass::kUrgent, PriorityClass::kNormal, PriorityClass::kArchive};
+
+/// Throws Error(kBadRequest), which starts with `path`, unless every class is
+/// named once.
+ClassOrder ParseClassOrder(const boost::json::array& names,
+                           const std::string& path);
+boost::json::array ToJson(const ClassOrder& order);
+
 struct DomainConfig {
   std::string region;
   bool in = true;  ///< false: taken out by operators
@@ -39,6 +52,7 @@
 /// What a gate does when a query is left with stragglers at its deadline
 /// margin.
 struct ServiceConfig {
+  ClassOrder class_order = kDefaultClassOrder;
   double retry_budget = 0.1;   ///< share of first attempts
   double hedge_budget = 0.05;  ///< share of first attempts
   bool early_answer =
--- /dev/null
+++ b/src/core/backoff.cc
@@ -0,0 +1,23 @@
+#include "auburnyard/backoff.h"
+
+#include <algorithm>
+
+namespace auburnyard {
+
+Backoff::Backoff(std::uint64_t seed) : random(seed), ceiling(2 * kShortest) {}
+
+std::chrono::milliseconds Backoff::Next() {
+  // Half of the ceiling is random, so that hosts that lost the same service at
+  // the same moment do not return to it in step.
+  std::uniform_int_distribution<std::int64_t> delay(this->ceiling.count() / 2,
+                                                    this->ceiling.count());
+  const std::chrono::milliseconds next(delay(this->random));
+  this->ceiling = std::min(2 * this->ceiling, kLongest);
+  return next;
+}
+
+void Backoff::Reset() {
+  this->ceiling = 2 * kShortest;
+}
+
+}  // namespace auburnyard
--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -1,5 +1,6 @@
 #include "auburnyard/configuration.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 
@@ -70,6 +71,10 @@
                     "early_answer", "min_coverage", "hedge_delay_ms"});
   const ServiceConfig defaults;
   ServiceConfig service;
+  if (reader.Has("class_order")) {
+    service.class_order = ParseClassOrder(reader.Array("class_order"),
+                                          reader.PathOf("class_order"));
+  }
   service.retry_budget =
       reader.Number("retry_budget", 0, 1, defaults.retry_budget);
   service.hedge_budget =
@@ -93,7 +98,8 @@
 }
 
 boost::json::object ToJson(const ServiceConfig& service) {
-  return {{"retry_budget", service.retry_budget},
+  return {{"class_order", ToJson(service.class_order)},
+          {"retry_budget", service.retry_budget},
           {"hedge_budget", service.hedge_budget},
           {"early_answer", service.early_answer},
           {"min_coverage", service.min_coverage},
@@ -116,6 +122,38 @@
               "class: expected \"urgent\", \"normal\" or \"archive\"");
 }
 
+ClassOrder ParseClassOrder(const boost::json::array& names,
+                           const std::string& path) {
+  ClassOrder order = kDefaultClassOrder;
+  std::size_t count = 0;
+  for (const boost::json::value& name : names) {
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(count);
+    if (count == order.size() || !name.is_string()) {
+      count = 0;
+      break;
+    }
+    const PriorityClass priority = ParsePriorityClass(name.get_string());
+    if (std::find(order.begin(), end, priority) != end) {
+      count = 0;
+      break;
+    }
+    order.at(count++) = priority;
+  }
+  if (count != order.size()) {
+    throw Error(ErrorKind::kBadRequest,
+                path + ": expected each priority class once");
+  }
+  return order;
+}
+
+boost::json::array ToJson(const ClassOrder& order) {
+  boost::json::array names;
+  for (const PriorityClass priority : order) {
+    names.emplace_back(ToString(priority));
+  }
+  return names;
+}
+
 Configuration ParseConfiguration(std::string_view json) {
   const boost::json::value document =
       detail::ParseJson(json, ErrorKind::kBadRequest);
--- /dev/null
+++ b/src/core/plan_conflicts.h
@@ -0,0 +1,18 @@
+#ifndef AUBURNYARD_SRC_CORE_PLAN_CONFLICTS_H_
+#define AUBURNYARD_SRC_CORE_PLAN_CONFLICTS_H_
+
+#include <vector>
+
+#include "auburnyard/intent.h"
+#include "auburnyard/plan.h"
+
+namespace auburnyard::detail {
+
+/// Demands of other intents, and states of the configuration, that contradict
+/// the intent.
+std::vector<PlanConflict> FindConflicts(const Configuration& configuration,
+                                        const Intent& intent);
+
+}  // namespace auburnyard::detail
+
+#endif  // AUBURNYARD_SRC_CORE_PLAN_CONFLICTS_H_
