--- a/include/auburnyard/configuration_store.h
+++ b/include/auburnyard/configuration_store.h
@@ -65,6 +65,9 @@
   CatalogTable Catalogs() const;
 
   std::vector<DocumentDigest> Digests() const;
+  /// Hash over all digests. Equal on hosts with the same revisions in force, so
+  /// a gossip round sends the digests only if the hashes differ.
+  std::uint64_t DigestHash() const;
   /// Revision in force, 0 if there is none.
   std::uint64_t RevisionOf(std::string_view key) const;
   /// Text of a document in force, empty if there is none.
--- a/src/core/configuration_store.cc
+++ b/src/core/configuration_store.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "auburnyard/error.h"
+#include "src/core/fnv_hash.h"
 #include "src/core/json_reader.h"
 
 namespace auburnyard {
@@ -111,6 +112,14 @@
   return digests;
 }
 
+std::uint64_t ConfigurationStore::DigestHash() const {
+  std::string text;
+  for (const DocumentDigest& digest : this->Digests()) {
+    text += digest.key + "\n" + std::to_string(digest.revision) + "\n";
+  }
+  return detail::FnvHash(text);
+}
+
 std::uint64_t ConfigurationStore::RevisionOf(std::string_view key) const {
   const std::lock_guard lock(this->mutex);
   const auto found = this->documents.find(key);
--- /dev/null
+++ b/src/daemon/configuration_watcher.cc
@@ -0,0 +1,296 @@
+#include "src/daemon/configuration_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "auburnyard/error.h"
+
+namespace auburnyard {
+
+namespace {
+
+constexpr std::size_t kConfigurationFeed = 0;
+constexpr std::size_t kCatalogFeed = 1;
+
+// The age of a watcher reaches twice this value plus one exchange. With about
+// 1.5 s for three gossip rounds the fleet stays below kStaleAfter. Claims are
+// kept below the same root, so the watches name the two kinds of documents and
+// not the root.
+constexpr std::chrono::milliseconds kConfigurationWait{500};
+// Nothing is derived from the age of catalogs: a target refuses a snapshot that
+// it does not have.
+constexpr std::chrono::milliseconds kCatalogWait{10'000};
+// Bounds the calls of a watcher if the service answers each watch at once.
+constexpr std::chrono::milliseconds kShortestCycle{100};
+constexpr std::chrono::milliseconds kRankPoll{500};
+// First reads of the whole fleet after a common restart; the service answers
+// about 2,000 reads/s to all of its users.
+constexpr std::size_t kStartReadsPerSecond = 200;
+constexpr std::size_t kAssumedFleet = 1'200;
+// Documents are at most 1 MB; an exchange of digests comes back in 500 ms.
+constexpr std::size_t kDocumentsPerExchange = 16;
+
+}  // namespace
+
+ConfigurationWatcher::ConfigurationWatcher(ConfigurationStore& document_store,
+                                           Knowledge& configuration_knowledge,
+                                           const Clock& watcher_clock,
+                                           WatcherHooks watcher_hooks,
+                                           std::uint64_t seed)
+    : store(document_store),
+      knowledge(configuration_knowledge),
+      clock(watcher_clock),
+      hooks(std::move(watcher_hooks)),
+      random(seed),
+      feeds{DocumentFeed{.prefix = std::string(kConfigurationKey),
+                         .wait = kConfigurationWait,
+                         .backoff = Backoff(seed + 1)},
+            DocumentFeed{.prefix = std::string(kCatalogPrefix),
+                         .wait = kCatalogWait,
+                         .backoff = Backoff(seed + 2)}} {}
+
+void ConfigurationWatcher::Start() {
+  this->store.OnChange(
+      [watcher = this->weak_from_this()](const DocumentDigest& digest) {
+        const auto self = watcher.lock();
+        if (self && digest.key == kConfigurationKey) {
+          self->knowledge.SetRevision(digest.revision);
+        }
+      });
+  this->knowledge.SetRevision(this->store.RevisionOf(kConfigurationKey));
+  const std::chrono::milliseconds delay = this->StartDelay();
+  this->StepAfter(delay, kConfigurationFeed);
+  this->StepAfter(delay, kCatalogFeed);
+}
+
+void ConfigurationWatcher::Stop() {
+  this->stopped = true;
+}
+
+// Every host waits, also those that take themselves for watchers: at a start of
+// the whole fleet each host may still know no other and rank itself first.
+std::chrono::milliseconds ConfigurationWatcher::StartDelay() {
+  std::size_t fleet = this->hooks.fleet_size();
+  fleet = fleet == 0 ? kAssumedFleet : fleet;
+  const std::chrono::milliseconds spread(1000 * fleet * kFeedCount /
+                                         kStartReadsPerSecond);
+  const std::lock_guard lock(this->mutex);
+  return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(
+      0, spread.count())(this->random));
+}
+
+void ConfigurationWatcher::StepAfter(std::chrono::milliseconds delay,
+                                     std::size_t feed) {
+  this->hooks.schedule(delay, [watcher = this->weak_from_this(), feed] {
+    if (const auto self = watcher.lock()) {
+      self->Step(feed);
+    }
+  });
+}
+
+void ConfigurationWatcher::Step(std::size_t feed) {
+  if (this->stopped.load()) {
+    return;
+  }
+  const bool watching = this->hooks.rank() < kWatchersPerDomain;
+  bool read_done = this->learned_from_peer.load();
+  {
+    const std::lock_guard lock(this->mutex);
+    read_done = read_done || this->feeds.at(feed).read_done;
+  }
+  if (watching || !read_done) {
+    this->Call(feed, watching);
+  } else {
+    this->StepAfter(kRankPoll, feed);
+  }
+}
+
+void ConfigurationWatcher::Call(std::size_t index, bool watching) {
+  std::string prefix;
+  std::uint64_t after = 0;
+  std::chrono::milliseconds wait{0};
+  {
+    const std::lock_guard lock(this->mutex);
+    DocumentFeed& feed = this->feeds.at(index);
+    feed.sent_at = this->clock.Now();
+    feed.sent_revision = this->store.RevisionOf(kConfigurationKey);
+    prefix = feed.prefix;
+    after = feed.position;
+    wait = watching && after > 0 ? feed.wait : wait;
+  }
+  this->hooks.watch(prefix, after, wait,
+                    [watcher = this->weak_from_this(), index,
+                     after](const WatchResult& result) {
+                      if (const auto self = watcher.lock()) {
+                        self->OnAnswer(index, after, result);
+                      }
+                    });
+}
+
+void ConfigurationWatcher::OnFailure(std::size_t index) {
+  const bool watching = this->hooks.rank() < kWatchersPerDomain;
+  // Hosts that need one read and no watch are many, so they keep the spread of
+  // the start.
+  const auto spread =
+      watching ? std::chrono::milliseconds(0) : this->StartDelay();
+  std::chrono::milliseconds delay;
+  {
+    const std::lock_guard lock(this->mutex);
+    delay = this->feeds.at(index).backoff.Next();
+  }
+  this->StepAfter(delay + spread, index);
+}
+
+void ConfigurationWatcher::OnAnswer(std::size_t index,
+                                    std::uint64_t after,
+                                    const WatchResult& result) {
+  if (this->stopped.load()) {
+    return;
+  }
+  if (result.status != PlatformStatus::kOk) {
+    this->OnFailure(index);
+    return;
+  }
+  DocumentFeed sent = [this, index] {
+    const std::lock_guard lock(this->mutex);
+    return this->feeds.at(index);
+  }();
+  this->TakeEntries(sent, result);
+  // An empty store, or one that has lost its history, is read again in full.
+  const bool again = result.position < after || result.position == 0;
+  {
+    const std::lock_guard lock(this->mutex);
+    DocumentFeed& feed = this->feeds.at(index);
+    feed.position = again ? 0 : result.position;
+    feed.read_done = true;
+    if (!again) {
+      feed.backoff.Reset();
+    }
+  }
+  if (again) {
+    this->OnFailure(index);
+    return;
+  }
+  const auto elapsed = std::chrono::ceil<std::chrono::milliseconds>(
+      this->clock.Now() - sent.sent_at);
+  this->StepAfter(
+      std::max(kShortestCycle - elapsed, std::chrono::milliseconds(0)), index);
+}
+
+void ConfigurationWatcher::TakeEntries(const DocumentFeed& sent,
+                                       const WatchResult& result) {
+  for (const PlatformEntry& entry : result.entries) {
+    this->TakeEntry(sent, entry);
+  }
+  if (sent.prefix == kConfigurationKey) {
+    this->CheckMissing(sent, result);
+    this->ConfirmRevision(sent, result);
+  }
+}
+
+void ConfigurationWatcher::TakeEntry(const DocumentFeed& sent,
+                                     const PlatformEntry& entry) {
+  const bool configuration = entry.key == kConfigurationKey;
+  if (!configuration && !entry.key.starts_with(kCatalogPrefix)) {
+    return;
+  }
+  std::uint64_t accepted = 0;
+  if (entry.deleted) {
+    this->faults.Report(
+        {entry.key, StoreFaultKind::kMissing, "the document was deleted"});
+  } else {
+    try {
+      const DocumentOutcome outcome = this->store.Offer(entry.key, entry.value);
+      if (outcome == DocumentOutcome::kTaken) {
+        this->hooks.push({entry.key, entry.value});
+      }
+      if (outcome == DocumentOutcome::kTaken ||
+          outcome == DocumentOutcome::kUnchanged) {
+        accepted = this->store.RevisionOf(entry.key);
+        this->faults.Clear(entry.key);
+      } else if (outcome == DocumentOutcome::kConflict) {
+        this->faults.Report({entry.key, StoreFaultKind::kConflict,
+                             "the revision in force has other contents"});
+      } else if (!configuration ||
+                 sent.sent_revision ==
+                     this->store.RevisionOf(kConfigurationKey)) {
+        // A newer document may have come from a peer while the call was on its
+        // way; that is no fault of the store.
+        this->faults.Report({entry.key, StoreFaultKind::kOlder,
+                             "the revision is lower than the one in force"});
+      }
+    } catch (const Error& error) {
+      this->faults.Report(
+          {entry.key, StoreFaultKind::kMalformed, error.what()});
+    }
+  }
+  if (configuration) {
+    const std::lock_guard lock(this->mutex);
+    this->store_revision = accepted;
+  }
+}
+
+void ConfigurationWatcher::CheckMissing(const DocumentFeed& sent,
+                                        const WatchResult& result) {
+  const bool found = std::any_of(result.entries.begin(), result.entries.end(),
+                                 [](const PlatformEntry& entry) {
+                                   return entry.key == kConfigurationKey;
+                                 });
+  if (sent.position != 0 || found || sent.sent_revision == 0) {
+    return;
+  }
+  this->faults.Report({std::string(kConfigurationKey), StoreFaultKind::kMissing,
+                       "the store does not have the document"});
+  const std::lock_guard lock(this->mutex);
+  this->store_revision = 0;
+}
+
+void ConfigurationWatcher::ConfirmRevision(const DocumentFeed& sent,
+                                           const WatchResult& result) {
+  std::uint64_t revision = 0;
+  {
+    const std::lock_guard lock(this->mutex);
+    // A lower position means other contents than those that were read.
+    revision = result.position < sent.position ? 0 : this->store_revision;
+  }
+  if (revision == 0) {
+    return;
+  }
+  // An answer without entries was produced when the wait had elapsed, any other
+  // at some time after the call was sent.
+  const TimePoint at =
+      result.entries.empty() && sent.position > 0
+          ? std::min(sent.sent_at + sent.wait, this->clock.Now())
+          : sent.sent_at;
+  this->knowledge.Confirm(revision, at);
+}
+
+void ConfigurationWatcher::OnPeerDocument(const DocumentMessage& message) {
+  try {
+    const DocumentOutcome outcome =
+        this->store.Offer(message.key, message.text);
+    if (outcome == DocumentOutcome::kTaken) {
+      this->learned_from_peer = true;
+      this->hooks.push(message);
+    } else if (outcome == DocumentOutcome::kConflict) {
+      this->faults.Report({message.key, StoreFaultKind::kConflict,
+                           "a peer has other contents in the same revision"});
+    }
+  } catch (const Error&) {
+    ++this->malformed_peer_documents;
+  }
+}
+
+std::vector<DocumentMessage> ConfigurationWatcher::DocumentsFor(
+    std::span<const DocumentDigest> theirs) const {
+  std::vector<DocumentMessage> documents;
+  for (const std::string& key : this->store.NewerThan(theirs)) {
+    if (documents.size() == kDocumentsPerExchange) {
+      break;
+    }
+    documents.push_back({key, this->store.DocumentText(key)});
+  }
+  return documents;
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/src/daemon/store_fault.h
@@ -0,0 +1,30 @@
+#ifndef AUBURNYARD_SRC_DAEMON_STORE_FAULT_H_
+#define AUBURNYARD_SRC_DAEMON_STORE_FAULT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace auburnyard {
+
+/// Why contents of the platform's service were refused.
+enum class StoreFaultKind {
+  kOlder,     ///< the store has gone back to a lower revision
+  kConflict,  ///< the revision in force has other contents in the store
+  kMissing,   ///< the document is gone from the store
+  kMalformed,
+};
+inline constexpr std::size_t kStoreFaultKindCount = 4;
+
+std::string_view ToString(StoreFaultKind kind);
+
+/// Present fault of one document. The document in force stays in force.
+struct StoreFault {
+  std::string key;
+  StoreFaultKind kind = StoreFaultKind::kOlder;
+  std::string detail;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_DAEMON_STORE_FAULT_H_
--- /dev/null
+++ b/src/daemon/watcher_hooks.h
@@ -0,0 +1,41 @@
+#ifndef AUBURNYARD_SRC_DAEMON_WATCHER_HOOKS_H_
+#define AUBURNYARD_SRC_DAEMON_WATCHER_HOOKS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "src/net/platform_result.h"
+
+namespace auburnyard {
+
+/// A configuration document on its way between hosts.
+struct DocumentMessage {
+  std::string key;
+  std::string text;
+};
+
+/// What the configuration watcher needs from its surroundings. No hook is
+/// called with a lock held.
+struct WatcherHooks {
+  std::function<void(std::string_view prefix,
+                     std::uint64_t after,
+                     std::chrono::milliseconds wait,
+                     std::function<void(WatchResult)> done)>
+      watch;
+  std::function<void(std::chrono::milliseconds delay,
+                     std::function<void()> run)>
+      schedule;
+  /// Position of this host among the live hosts of its failure domain, 0 first.
+  std::function<std::size_t()> rank;
+  /// Number of hosts of the fleet, live or not; 0: not known.
+  std::function<std::size_t()> fleet_size;
+  /// Sends a document to a few random peers.
+  std::function<void(const DocumentMessage&)> push;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_DAEMON_WATCHER_HOOKS_H_
