--- a/src/core/configuration_store.cc
+++ b/src/core/configuration_store.cc
@@ -14,6 +14,16 @@
   std::shared_ptr<const ShardMap> catalog;
 };
 
+namespace {
+
+// Documents with the same meaning compare equal, whatever their order of
+// members and with or without members that have their default.
+boost::json::value Canonical(const std::string& serialized) {
+  return detail::ParseJson(serialized, ErrorKind::kInternal);
+}
+
+}  // namespace
+
 ConfigurationStore::Parsed ConfigurationStore::Parse(
     std::string_view key,
     std::string_view document) {
@@ -22,9 +32,12 @@
     parsed.configuration =
         std::make_shared<const Configuration>(ParseConfiguration(document));
     parsed.held.revision = parsed.configuration->revision;
+    parsed.held.content =
+        Canonical(SerializeConfiguration(*parsed.configuration));
   } else if (key.starts_with(kCatalogPrefix)) {
     parsed.catalog = std::make_shared<const ShardMap>(ParseShardMap(document));
     parsed.held.revision = parsed.catalog->revision;
+    parsed.held.content = Canonical(SerializeShardMap(*parsed.catalog));
     if (parsed.catalog->service != key.substr(kCatalogPrefix.size())) {
       throw Error(ErrorKind::kBadRequest,
                   "service: expected the service named by the key");
@@ -34,7 +47,6 @@
                 "\"" + std::string(key) + "\": not a configuration document");
   }
   parsed.held.text = std::string(document);
-  parsed.held.content = detail::ParseJson(document, ErrorKind::kBadRequest);
   return parsed;
 }
 
--- /dev/null
+++ b/src/daemon/configuration_editor.h
@@ -0,0 +1,64 @@
+#ifndef AUBURNYARD_SRC_DAEMON_CONFIGURATION_EDITOR_H_
+#define AUBURNYARD_SRC_DAEMON_CONFIGURATION_EDITOR_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "src/daemon/configuration_edit.h"
+#include "src/daemon/watcher_hooks.h"
+#include "src/net/platform_result.h"
+
+namespace auburnyard {
+
+struct EditorHooks {
+  std::function<void(std::string_view key, std::function<void(GetResult)> done)>
+      get;
+  std::function<void(const PutCall&, std::function<void(WriteResult)> done)>
+      put;
+  std::function<void(std::chrono::milliseconds delay,
+                     std::function<void()> run)>
+      schedule;
+  std::function<std::string()> nonce;  ///< a new one with each call
+  /// Revision of the configuration in force on this host.
+  std::function<std::uint64_t()> revision;
+  /// A document was written; it goes into the own store and to peers.
+  std::function<void(const DocumentMessage&)> written;
+};
+
+/// Changes the stored configuration by compare-and-swap. A write whose reply
+/// was lost is resolved by reading back. Thread-safe.
+class ConfigurationEditor {
+ public:
+  using Callback = std::function<void(EditResult)>;
+
+  ConfigurationEditor(EditorHooks hooks, std::uint64_t seed);
+
+  /// Errors: what the edit throws; kPlatformUnavailable: nothing was written;
+  /// kConflict: other writers were faster, or the store has gone back to older
+  /// contents; kOutcomeUnknown: a write was sent and could not be read back.
+  void Edit(ConfigurationEdit edit, Callback done);
+
+ private:
+  EditorHooks hooks;
+  std::atomic<std::uint64_t> next_seed;
+};
+
+class ConfigurationStore;
+class ConfigurationWatcher;
+class PlatformClient;
+
+/// Hooks of a daemon. Timers are those of `hooks`; `host` starts each nonce.
+EditorHooks MakeEditorHooks(std::shared_ptr<PlatformClient> client,
+                            const ConfigurationStore& store,
+                            std::shared_ptr<ConfigurationWatcher> watcher,
+                            WatcherHooks hooks,
+                            std::string host);
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_DAEMON_CONFIGURATION_EDITOR_H_
--- a/src/daemon/configuration_watcher.cc
+++ b/src/daemon/configuration_watcher.cc
@@ -42,10 +42,10 @@
       clock(watcher_clock),
       hooks(std::move(watcher_hooks)),
       random(seed),
-      feeds{DocumentFeed{.prefix = std::string(kConfigurationKey),
+      feeds{DocumentFeed{.prefix = kConfigurationKey,
                          .wait = kConfigurationWait,
                          .backoff = Backoff(seed + 1)},
-            DocumentFeed{.prefix = std::string(kCatalogPrefix),
+            DocumentFeed{.prefix = kCatalogPrefix,
                          .wait = kCatalogWait,
                          .backoff = Backoff(seed + 2)}} {}
 
@@ -99,35 +99,38 @@
     read_done = read_done || this->feeds.at(feed).read_done;
   }
   if (watching || !read_done) {
-    this->Call(feed, watching);
+    this->Send(feed, watching);
   } else {
     this->StepAfter(kRankPoll, feed);
   }
 }
 
-void ConfigurationWatcher::Call(std::size_t index, bool watching) {
-  std::string prefix;
-  std::uint64_t after = 0;
-  std::chrono::milliseconds wait{0};
+void ConfigurationWatcher::Send(std::size_t index, bool watching) {
+  WatchCall call{.feed = index, .sent_at = this->clock.Now()};
+  for (const DocumentDigest& digest : this->store.Digests()) {
+    call.in_force.emplace(digest.key, digest.revision);
+  }
   {
     const std::lock_guard lock(this->mutex);
-    DocumentFeed& feed = this->feeds.at(index);
-    feed.sent_at = this->clock.Now();
-    feed.sent_revision = this->store.RevisionOf(kConfigurationKey);
-    prefix = feed.prefix;
-    after = feed.position;
-    wait = watching && after > 0 ? feed.wait : wait;
+    const DocumentFeed& feed = this->feeds.at(index);
+    call.prefix = feed.prefix;
+    call.after = feed.position;
+    call.wait = watching && call.after > 0 ? feed.wait : call.wait;
   }
-  this->hooks.watch(prefix, after, wait,
-                    [watcher = this->weak_from_this(), index,
-                     after](const WatchResult& result) {
-                      if (const auto self = watcher.lock()) {
-                        self->OnAnswer(index, after, result);
-                      }
-                    });
+  this->hooks.watch(
+      call.prefix, call.after, call.wait,
+      [watcher = this->weak_from_this(), call](const WatchResult& result) {
+        const auto self = watcher.lock();
+        if (self && !self->stopped.load()) {
+          self->OnAnswer(call, result);
+        }
+      });
 }
 
-void ConfigurationWatcher::OnFailure(std::size_t index) {
+// A store that was restored during an outage may have passed the position again
+// with other contents, so everything is read after each failure. The same holds
+// for an empty store and for one whose position has fallen.
+void ConfigurationWatcher::Retry(std::size_t index) {
   const bool watching = this->hooks.rank() < kWatchersPerDomain;
   // Hosts that need one read and no watch are many, so they keep the spread of
   // the start.
@@ -136,59 +139,47 @@
   std::chrono::milliseconds delay;
   {
     const std::lock_guard lock(this->mutex);
+    this->feeds.at(index).position = 0;
     delay = this->feeds.at(index).backoff.Next();
   }
   this->StepAfter(delay + spread, index);
 }
 
-void ConfigurationWatcher::OnAnswer(std::size_t index,
-                                    std::uint64_t after,
+void ConfigurationWatcher::OnAnswer(const WatchCall& call,
                                     const WatchResult& result) {
-  if (this->stopped.load()) {
-    return;
-  }
   if (result.status != PlatformStatus::kOk) {
-    this->OnFailure(index);
+    this->Retry(call.feed);
     return;
   }
-  DocumentFeed sent = [this, index] {
-    const std::lock_guard lock(this->mutex);
-    return this->feeds.at(index);
-  }();
-  this->TakeEntries(sent, result);
-  // An empty store, or one that has lost its history, is read again in full.
-  const bool again = result.position < after || result.position == 0;
+  for (const PlatformEntry& entry : result.entries) {
+    this->TakeEntry(call, entry);
+  }
+  if (call.feed == kConfigurationFeed) {
+    this->CheckMissing(call, result);
+    this->ConfirmRevision(call, result);
+  }
+  const bool again = result.position < call.after || result.position == 0;
   {
     const std::lock_guard lock(this->mutex);
-    DocumentFeed& feed = this->feeds.at(index);
-    feed.position = again ? 0 : result.position;
+    DocumentFeed& feed = this->feeds.at(call.feed);
     feed.read_done = true;
+    feed.position = result.position;
     if (!again) {
       feed.backoff.Reset();
     }
   }
   if (again) {
-    this->OnFailure(index);
+    this->Retry(call.feed);
     return;
   }
   const auto elapsed = std::chrono::ceil<std::chrono::milliseconds>(
-      this->clock.Now() - sent.sent_at);
+      this->clock.Now() - call.sent_at);
   this->StepAfter(
-      std::max(kShortestCycle - elapsed, std::chrono::milliseconds(0)), index);
+      std::max(kShortestCycle - elapsed, std::chrono::milliseconds(0)),
+      call.feed);
 }
 
-void ConfigurationWatcher::TakeEntries(const DocumentFeed& sent,
-                                       const WatchResult& result) {
-  for (const PlatformEntry& entry : result.entries) {
-    this->TakeEntry(sent, entry);
-  }
-  if (sent.prefix == kConfigurationKey) {
-    this->CheckMissing(sent, result);
-    this->ConfirmRevision(sent, result);
-  }
-}
-
-void ConfigurationWatcher::TakeEntry(const DocumentFeed& sent,
+void ConfigurationWatcher::TakeEntry(const WatchCall& call,
                                      const PlatformEntry& entry) {
   const bool configuration = entry.key == kConfigurationKey;
   if (!configuration && !entry.key.starts_with(kCatalogPrefix)) {
@@ -200,25 +191,7 @@
         {entry.key, StoreFaultKind::kMissing, "the document was deleted"});
   } else {
     try {
-      const DocumentOutcome outcome = this->store.Offer(entry.key, entry.value);
-      if (outcome == DocumentOutcome::kTaken) {
-        this->hooks.push({entry.key, entry.value});
-      }
-      if (outcome == DocumentOutcome::kTaken ||
-          outcome == DocumentOutcome::kUnchanged) {
-        accepted = this->store.RevisionOf(entry.key);
-        this->faults.Clear(entry.key);
-      } else if (outcome == DocumentOutcome::kConflict) {
-        this->faults.Report({entry.key, StoreFaultKind::kConflict,
-                             "the revision in force has other contents"});
-      } else if (!configuration ||
-                 sent.sent_revision ==
-                     this->store.RevisionOf(kConfigurationKey)) {
-        // A newer document may have come from a peer while the call was on its
-        // way; that is no fault of the store.
-        this->faults.Report({entry.key, StoreFaultKind::kOlder,
-                             "the revision is lower than the one in force"});
-      }
+      accepted = this->OfferEntry(call, entry);
     } catch (const Error& error) {
       this->faults.Report(
           {entry.key, StoreFaultKind::kMalformed, error.what()});
@@ -230,13 +203,38 @@
   }
 }
 
-void ConfigurationWatcher::CheckMissing(const DocumentFeed& sent,
+std::uint64_t ConfigurationWatcher::OfferEntry(const WatchCall& call,
+                                               const PlatformEntry& entry) {
+  const DocumentOutcome outcome = this->store.Offer(entry.key, entry.value);
+  if (outcome == DocumentOutcome::kTaken) {
+    this->hooks.push({entry.key, entry.value});
+  }
+  const std::uint64_t revision = this->store.RevisionOf(entry.key);
+  if (outcome == DocumentOutcome::kTaken ||
+      outcome == DocumentOutcome::kUnchanged) {
+    this->faults.Clear(entry.key);
+    return revision;
+  }
+  const auto sent = call.in_force.find(entry.key);
+  if (outcome == DocumentOutcome::kConflict) {
+    this->faults.Report({entry.key, StoreFaultKind::kConflict,
+                         "the revision in force has other contents"});
+  } else if (sent != call.in_force.end() && sent->second == revision) {
+    // Otherwise a newer document came from a peer while the call was on its
+    // way, which is no fault of the store.
+    this->faults.Report({entry.key, StoreFaultKind::kOlder,
+                         "the revision is lower than the one in force"});
+  }
+  return 0;
+}
+
+void ConfigurationWatcher::CheckMissing(const WatchCall& call,
                                         const WatchResult& result) {
   const bool found = std::any_of(result.entries.begin(), result.entries.end(),
                                  [](const PlatformEntry& entry) {
                                    return entry.key == kConfigurationKey;
                                  });
-  if (sent.position != 0 || found || sent.sent_revision == 0) {
+  if (call.after != 0 || found || !call.in_force.contains(kConfigurationKey)) {
     return;
   }
   this->faults.Report({std::string(kConfigurationKey), StoreFaultKind::kMissing,
@@ -245,13 +243,13 @@
   this->store_revision = 0;
 }
 
-void ConfigurationWatcher::ConfirmRevision(const DocumentFeed& sent,
+void ConfigurationWatcher::ConfirmRevision(const WatchCall& call,
                                            const WatchResult& result) {
   std::uint64_t revision = 0;
   {
     const std::lock_guard lock(this->mutex);
-    // A lower position means other contents than those that were read.
-    revision = result.position < sent.position ? 0 : this->store_revision;
+    // A fallen position means other contents than those that were read.
+    revision = result.position < call.after ? 0 : this->store_revision;
   }
   if (revision == 0) {
     return;
@@ -259,9 +257,9 @@
   // An answer without entries was produced when the wait had elapsed, any other
   // at some time after the call was sent.
   const TimePoint at =
-      result.entries.empty() && sent.position > 0
-          ? std::min(sent.sent_at + sent.wait, this->clock.Now())
-          : sent.sent_at;
+      result.entries.empty()
+          ? std::min(call.sent_at + call.wait, this->clock.Now())
+          : call.sent_at;
   this->knowledge.Confirm(revision, at);
 }
 
--- a/src/daemon/configuration_watcher.h
+++ b/src/daemon/configuration_watcher.h
@@ -65,15 +65,14 @@
   static constexpr std::size_t kFeedCount = 2;
 
   void Step(std::size_t feed);
-  void Call(std::size_t feed, bool watching);
-  void OnAnswer(std::size_t feed,
-                std::uint64_t after,
-                const WatchResult& result);
-  void OnFailure(std::size_t feed);
-  void TakeEntries(const DocumentFeed& sent, const WatchResult& result);
-  void TakeEntry(const DocumentFeed& sent, const PlatformEntry& entry);
-  void CheckMissing(const DocumentFeed& sent, const WatchResult& result);
-  void ConfirmRevision(const DocumentFeed& sent, const WatchResult& result);
+  void Send(std::size_t feed, bool watching);
+  void OnAnswer(const WatchCall& call, const WatchResult& result);
+  void Retry(std::size_t feed);
+  void TakeEntry(const WatchCall& call, const PlatformEntry& entry);
+  /// Revision of the entry if it is in force now, otherwise 0.
+  std::uint64_t OfferEntry(const WatchCall& call, const PlatformEntry& entry);
+  void CheckMissing(const WatchCall& call, const WatchResult& result);
+  void ConfirmRevision(const WatchCall& call, const WatchResult& result);
   std::chrono::milliseconds StartDelay();
   void StepAfter(std::chrono::milliseconds delay, std::size_t feed);
 
--- a/src/daemon/document_feed.h
+++ b/src/daemon/document_feed.h
@@ -3,7 +3,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <string_view>
 
 #include "auburnyard/backoff.h"
 #include "auburnyard/clock.h"
@@ -12,14 +14,22 @@
 
 /// State of the watch of one key prefix.
 struct DocumentFeed {
-  std::string prefix;
+  std::string_view prefix;
   std::chrono::milliseconds wait{0};
   Backoff backoff;
   std::uint64_t position = 0;  ///< 0: everything is read
   bool read_done = false;
+};
+
+/// A watch call on its way.
+struct WatchCall {
+  std::size_t feed = 0;
+  std::string_view prefix;
+  std::uint64_t after = 0;
+  std::chrono::milliseconds wait{0};
   TimePoint sent_at;
-  /// Revision of the configuration in force when the call was sent.
-  std::uint64_t sent_revision = 0;
+  /// Revisions in force when the call was sent.
+  std::map<std::string, std::uint64_t, std::less<>> in_force;
 };
 
 }  // namespace auburnyard
--- /dev/null
+++ b/src/daemon/operator_api.h
@@ -0,0 +1,76 @@
+#ifndef AUBURNYARD_SRC_DAEMON_OPERATOR_API_H_
+#define AUBURNYARD_SRC_DAEMON_OPERATOR_API_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "auburnyard/configuration_store.h"
+#include "auburnyard/knowledge.h"
+#include "auburnyard/planner.h"
+#include "src/daemon/configuration_editor.h"
+#include "src/daemon/host_status.h"
+#include "src/net/http_server.h"
+
+namespace auburnyard {
+
+/// Parts of the daemon that the operator interface reads. They must outlive it.
+struct OperatorApiParts {
+  std::string operator_key;
+  const ConfigurationStore* store = nullptr;
+  const Knowledge* knowledge = nullptr;
+  const Clock* clock = nullptr;
+  ConfigurationEditor* editor = nullptr;
+  /// Known load of services; may be empty.
+  std::function<std::map<std::string, ServiceLoad, std::less<>>()> load;
+  /// Other hosts, from digests and ages of gossip; may be empty.
+  std::function<std::vector<HostStatus>()> hosts;
+  std::function<std::vector<StoreFault>()> faults;
+  /// Further members of `/v1/status`; may be empty.
+  std::function<boost::json::object()> more_status;
+};
+
+/// HTTP interface of operators: intents, plans and status. `/v1/status` needs
+/// no key. Thread-safe.
+class OperatorApi : public std::enable_shared_from_this<OperatorApi> {
+ public:
+  explicit OperatorApi(OperatorApiParts parts);
+
+  /// False, without a response, if the path belongs to someone else.
+  bool Handle(const HttpRequest& request, const HttpResponder& respond);
+
+ private:
+  using Segments = std::vector<std::string>;
+
+  void Route(const HttpRequest& request,
+             const Segments& path,
+             const HttpResponder& respond);
+  void HandleIntents(const HttpRequest& request,
+                     const Segments& path,
+                     const HttpResponder& respond);
+  void HandlePlans(const HttpRequest& request,
+                   const Segments& path,
+                   const HttpResponder& respond);
+  void CreateIntent(const HttpRequest& request, const HttpResponder& respond);
+  void Confirm(const std::string& plan_id, const HttpResponder& respond);
+  HttpResponse ListOfIntents() const;
+  HttpResponse ListOfPlans() const;
+  HttpResponse PlanById(const std::string& plan_id) const;
+  HttpResponse PlanOf(const std::string& body) const;
+  HttpResponse Status() const;
+  std::shared_ptr<const Configuration> InForce() const;
+  Plan Compute(std::shared_ptr<const Configuration> configuration,
+               const Intent& intent) const;
+  /// Problem details of a confirmation, with a fresh plan for a conflict.
+  HttpResponse ConfirmProblem(const std::string& plan_id,
+                              const EditResult& result) const;
+
+  OperatorApiParts parts;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_DAEMON_OPERATOR_API_H_
--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -64,8 +64,8 @@
   const detail::JsonReader reader(value, path, ErrorKind::kProtocol);
   PlatformEntry entry;
   entry.key = reader.String("key", "");
-  entry.deleted = reader.Boolean("deleted", false);
-  entry.value = reader.String("value", "");
+  entry.deleted = reader.Has("value") && reader.object().at("value").is_null();
+  entry.value = entry.deleted ? "" : reader.String("value");
   entry.version = reader.Integer("version", 0, kMaxVersion);
   return entry;
 }
@@ -74,11 +74,11 @@
   const boost::json::value document =
       detail::ParseJson(body, ErrorKind::kProtocol);
   const detail::JsonReader reader(document, "", ErrorKind::kProtocol);
-  result.position = reader.Integer("position", 0, kMaxVersion);
+  result.position = reader.Integer("revision", 0, kMaxVersion);
   std::size_t index = 0;
-  for (const boost::json::value& entry : reader.Array("entries")) {
+  for (const boost::json::value& event : reader.Array("events")) {
     result.entries.push_back(
-        ParseEntry(entry, "entries[" + std::to_string(index++) + "]"));
+        ParseEntry(event, "events[" + std::to_string(index++) + "]"));
   }
 }
 
@@ -145,15 +145,16 @@
       });
 }
 
-void PlatformClient::Put(std::string_view key,
-                         std::string_view value,
-                         std::uint64_t expect_version,
-                         WriteCallback done) {
+void PlatformClient::Put(const PutCall& put, WriteCallback done) {
+  boost::json::object body{{"value", put.value},
+                           {"expect_version", put.expect_version}};
+  if (!put.lease.empty()) {
+    body["lease"] = put.lease;
+  }
   this->Write(PlatformCallKind::kPut,
               {.method = "PUT",
-               .path = KeyPath(key),
-               .body = boost::json::serialize(boost::json::object{
-                   {"value", value}, {"expect_version", expect_version}})},
+               .path = KeyPath(put.key),
+               .body = boost::json::serialize(body)},
               std::move(done));
 }
 
--- a/src/net/platform_client.h
+++ b/src/net/platform_client.h
@@ -38,12 +38,8 @@
                  PlatformClientOptions options);
 
   void Get(std::string_view key, GetCallback done);
-  /// Writes if the stored version is `expect_version`; 0: the key must not
-  /// exist.
-  void Put(std::string_view key,
-           std::string_view value,
-           std::uint64_t expect_version,
-           WriteCallback done);
+  /// Writes if the stored version is the expected one.
+  void Put(const PutCall& put, WriteCallback done);
   void Delete(std::string_view key,
               std::uint64_t expect_version,
               WriteCallback done);
--- a/src/net/platform_result.h
+++ b/src/net/platform_result.h
@@ -33,6 +33,13 @@
   bool deleted = false;
 };
 
+struct PutCall {
+  std::string key;
+  std::string value;
+  std::uint64_t expect_version = 0;  ///< 0: the key must not exist
+  std::string lease;  ///< the key is deleted with it; empty: permanent
+};
+
 struct GetResult {
   PlatformStatus status = PlatformStatus::kUnavailable;
   std::string error;
@@ -48,7 +55,7 @@
 struct WatchResult {
   PlatformStatus status = PlatformStatus::kUnavailable;
   std::string error;
-  std::uint64_t position = 0;  ///< pass as `after` to the next watch
+  std::uint64_t position = 0;  ///< of the store; `after` of the next watch
   std::vector<PlatformEntry> entries;
 };
 
