--- /dev/null
+++ b/src/cli/confirm_command.cc
@@ -0,0 +1,36 @@
+#include <ostream>
+
+#include "src/cli/host_call.h"
+#include "src/cli/print.h"
+#include "src/cli/subcommands.h"
+
+namespace auburnyard::cli {
+
+namespace {
+
+void Run(const Options& options, std::ostream& out) {
+  const std::string plan = options.Arguments(1, 1).front();
+  const boost::json::object answer =
+      CallHost(options, CallKey::kOperator,
+               {.method = "POST",
+                .path = "/v1/plans/" + EncodePercent(plan) + "/confirm"},
+               out);
+  if (options.Has("json")) {
+    PrintJson(answer, out);
+    return;
+  }
+  out << (answer.at("changed").as_bool() ? "confirmed" : "was confirmed before")
+      << " in revision " << answer.at("confirmed_revision") << '\n';
+}
+
+}  // namespace
+
+Command ConfirmCommand() {
+  return {.name = "confirm",
+          .arguments = "PLAN",
+          .summary = "Puts a plan into force.",
+          .options = {},
+          .run = Run};
+}
+
+}  // namespace auburnyard::cli
--- /dev/null
+++ b/src/cli/print.cc
@@ -0,0 +1,120 @@
+#include "src/cli/print.h"
+
+#include <cstdio>
+#include <ostream>
+
+#include <boost/json/serialize.hpp>
+
+namespace auburnyard::cli {
+
+namespace {
+
+using boost::json::object;
+using boost::json::value;
+
+std::string Percent(const value& share) {
+  constexpr double kHundred = 100;
+  char text[16];
+  std::snprintf(text, sizeof(text), "%.1f %%",
+                share.to_number<double>() * kHundred);
+  return text;
+}
+
+void PrintShed(const object& effect, std::ostream& out) {
+  for (const value& shed : effect.at("shed").as_array()) {
+    out << "    shed: " << Percent(shed.at("share")) << " of class "
+        << Plain(shed.at("class"))
+        << (effect.at("load_known").as_bool() ? "" : " if every slot is in use")
+        << '\n';
+  }
+}
+
+void PrintService(std::string_view name,
+                  const object& effect,
+                  std::ostream& out) {
+  out << "  service " << name << ": slots " << effect.at("slots_before")
+      << " -> " << effect.at("slots_after") << ", fewest replicas of a shard "
+      << effect.at("fewest_replicas_before") << " -> "
+      << effect.at("fewest_replicas_after") << ", coverage "
+      << Percent(effect.at("coverage_before")) << " -> "
+      << Percent(effect.at("coverage_after")) << ", moved "
+      << Percent(effect.at("moved_share")) << '\n';
+  if (!effect.at("shards_lost").as_array().empty()) {
+    out << "    shards without a replica: "
+        << JoinNames(effect.at("shards_lost")) << '\n';
+  }
+  PrintShed(effect, out);
+}
+
+}  // namespace
+
+void PrintJson(const value& json, std::ostream& out) {
+  out << boost::json::serialize(json) << '\n';
+}
+
+std::string Plain(const value& json) {
+  return json.is_string() ? std::string(json.get_string())
+                          : boost::json::serialize(json);
+}
+
+std::string JoinNames(const value& names) {
+  std::string text;
+  for (const value& name : names.as_array()) {
+    text += (text.empty() ? "" : ", ") + Plain(name);
+  }
+  return text.empty() ? "none" : text;
+}
+
+void PrintPlan(const object& plan, std::ostream& out) {
+  out << "plan " << Plain(plan.at("id")) << "\n  intent "
+      << Plain(plan.at("intent")) << ", base revision "
+      << plan.at("base_revision") << '\n';
+  for (const value& change : plan.at("changes").as_array()) {
+    out << "  change " << Plain(change.at("path")) << ": "
+        << Plain(change.at("from")) << " -> " << Plain(change.at("to")) << '\n';
+  }
+  if (plan.at("changes").as_array().empty()) {
+    out << "  no changes\n";
+  }
+  out << "  targets that move: " << JoinNames(plan.at("moved_targets"))
+      << "; share of traffic: " << Percent(plan.at("moved_share")) << '\n';
+  for (const auto& domain : plan.at("domains").as_object()) {
+    out << "  domain " << std::string_view(domain.key()) << ": slots "
+        << domain.value().at("slots_before") << " -> "
+        << domain.value().at("slots_after") << '\n';
+  }
+  for (const auto& service : plan.at("services").as_object()) {
+    PrintService(service.key(), service.value().as_object(), out);
+  }
+  for (const value& conflict : plan.at("conflicts").as_array()) {
+    const std::string other = Plain(conflict.at("intent"));
+    out << "  conflict"
+        << (other.empty() ? "" : " with intent \"" + other + "\"") << ": "
+        << Plain(conflict.at("detail")) << '\n';
+  }
+}
+
+void PrintIntent(const object& intent, std::ostream& out) {
+  out << Plain(intent.at("id")) << " by " << Plain(intent.at("author"))
+      << ", revision " << intent.at("created_revision") << ", ";
+  const value* confirmation = intent.if_contains("confirmation");
+  if (confirmation == nullptr) {
+    out << "not confirmed\n";
+  } else {
+    out << "confirmed in revision " << confirmation->at("revision") << '\n';
+  }
+  if (!Plain(intent.at("text")).empty()) {
+    out << "  " << Plain(intent.at("text")) << '\n';
+  }
+  for (const char* const member : {"domains", "targets"}) {
+    for (const auto& action : intent.at(member).as_object()) {
+      out << "  " << member << '.' << std::string_view(action.key()) << ": "
+          << Plain(action.value()) << '\n';
+    }
+  }
+  if (const value* order = intent.if_contains("class_order")) {
+    out << "  class order: " << JoinNames(*order) << '\n';
+  }
+}
+
+}  // namespace auburnyard::cli
