--- a/src/cli/program.cc
+++ b/src/cli/program.cc
@@ -83,6 +83,10 @@
     PrintHelp(*command, out);
     return;
   }
+  if (options.Has("version")) {
+    out << kVersion << '\n';
+    return;
+  }
   options.Prepend(common);
   command->run(options, out);
 }
