Add decision records, the decision log, explain, traces and replay

Nothing recorded why a query was routed, retried, hedged or refused, and no trace could be compared with a later version of the core.

DecisionRecord is the one format for the log, for explain and for traces.

Replay feeds the inputs of a trace to the query machine and to the gates that the header names, and compares the actions of each input, in any order, with the outcomes stated after it. Members that an outcome leaves out are not compared, so that traces need not repeat details such as queue lengths. A trace of a front alone has no gates; dispatches and rejections are then inputs.

--- /dev/null
+++ b/include/auburnyard/explain.h
@@ -0,0 +1,24 @@
+#ifndef AUBURNYARD_EXPLAIN_H_
+#define AUBURNYARD_EXPLAIN_H_
+
+#include <span>
+#include <string>
+
+#include <boost/json/object.hpp>
+
+#include "auburnyard/decision.h"
+
+namespace auburnyard {
+
+/// Explains a decision by its records: which target each part went to and why,
+/// and what was retried, hedged, shed or refused. `records` must be those of
+/// one decision, in order.
+boost::json::object ExplainDecision(std::span<const DecisionRecord> records);
+
+/// Readable form of the object that ExplainDecision returns. Throws
+/// Error(kProtocol) if the object has another form.
+std::string FormatExplanation(const boost::json::object& explanation);
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_EXPLAIN_H_
--- /dev/null
+++ b/src/core/trace.cc
@@ -0,0 +1,211 @@
+#include "auburnyard/trace.h"
+
+#include <limits>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "src/core/json_reader.h"
+
+namespace auburnyard {
+
+namespace {
+
+constexpr std::uint64_t kTraceVersion = 1;
+constexpr std::uint64_t kMaxSeed = std::numeric_limits<std::uint64_t>::max();
+constexpr std::uint64_t kMaxTokens = 1'000'000;
+constexpr std::uint64_t kMaxMs = 600'000;
+constexpr std::uint64_t kMaxLimit = 65'535;
+
+Duration Milliseconds(const detail::JsonReader& reader,
+                      std::string_view name,
+                      Duration fallback) {
+  const auto fallback_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count();
+  return std::chrono::milliseconds(
+      reader.Integer(name, 0, kMaxMs, static_cast<std::uint64_t>(fallback_ms)));
+}
+
+QueryPolicy ParsePolicy(const detail::JsonReader& reader) {
+  reader.AllowOnly(
+      {"hedge_delay_ms", "early_answer", "deadline_margin_ms", "max_restarts"});
+  QueryPolicy policy;
+  policy.hedge_delay = Milliseconds(reader, "hedge_delay_ms", Duration::zero());
+  policy.early_answer = reader.Boolean("early_answer", policy.early_answer);
+  policy.deadline_margin =
+      Milliseconds(reader, "deadline_margin_ms", policy.deadline_margin);
+  policy.max_restarts = static_cast<std::uint32_t>(
+      reader.Integer("max_restarts", 0, kMaxTokens, policy.max_restarts));
+  return policy;
+}
+
+GateLimits ParseGate(const detail::JsonReader& reader) {
+  reader.AllowOnly({"slots", "cold_limit", "queue_length"});
+  GateLimits limits;
+  limits.slots =
+      static_cast<std::uint32_t>(reader.Integer("slots", 0, kMaxLimit));
+  limits.cold_limit =
+      static_cast<std::uint32_t>(reader.Integer("cold_limit", 0, kMaxLimit));
+  limits.queue_length =
+      reader.Integer("queue_length", 0, kMaxLimit, limits.queue_length);
+  return limits;
+}
+
+TraceOrder ParseOrder(const detail::JsonReader& reader) {
+  const std::string order = reader.String("order", "listed");
+  if (order != "listed" && order != "random") {
+    throw Error(ErrorKind::kBadRequest,
+                "order: expected \"listed\" or \"random\"");
+  }
+  return order == "listed" ? TraceOrder::kListed : TraceOrder::kRandom;
+}
+
+void ParseBudgets(const detail::JsonReader& reader, TraceHeader& header) {
+  reader.AllowOnly({"retry", "hedge"});
+  header.retry_budget =
+      static_cast<std::uint32_t>(reader.Integer("retry", 0, kMaxTokens, 0));
+  header.hedge_budget =
+      static_cast<std::uint32_t>(reader.Integer("hedge", 0, kMaxTokens, 0));
+}
+
+TraceHeader ParseHeader(std::string_view line) {
+  const boost::json::value document =
+      detail::ParseJson(line, ErrorKind::kBadRequest);
+  const detail::JsonReader reader(document, "", ErrorKind::kBadRequest);
+  reader.AllowOnly({"trace", "decision", "seed", "order", "request", "policy",
+                    "budgets", "maps", "gates"});
+  reader.Integer("trace", kTraceVersion, kTraceVersion);
+  TraceHeader header;
+  header.decision = reader.String("decision");
+  header.seed = reader.Integer("seed", 0, kMaxSeed);
+  header.order = ParseOrder(reader);
+  header.request =
+      ParseQueryRequest(boost::json::serialize(reader.Object("request")));
+  header.policy = ParsePolicy(reader.Child("policy"));
+  ParseBudgets(reader.Child("budgets"), header);
+  for (const boost::json::value& map : reader.Array("maps")) {
+    header.maps.push_back(std::make_shared<const ShardMap>(
+        ParseShardMap(boost::json::serialize(map))));
+  }
+  if (header.maps.empty()) {
+    throw Error(ErrorKind::kBadRequest, "maps: expected at least one map");
+  }
+  for (const auto& gate : reader.Object("gates")) {
+    header.gates.emplace(
+        gate.key(), ParseGate({gate.value(), "gates." + std::string(gate.key()),
+                               ErrorKind::kBadRequest}));
+  }
+  return header;
+}
+
+void ParseLine(std::string_view line, std::size_t number, Trace& trace) {
+  if (trace.header.maps.empty()) {
+    trace.header = ParseHeader(line);
+    return;
+  }
+  DecisionRecord record = ParseDecisionRecord(line);
+  if (!trace.lines.empty() && record.time < trace.lines.back().record.time) {
+    throw Error(ErrorKind::kBadRequest,
+                "t_us: earlier than the time of the line before");
+  }
+  if (trace.lines.empty() && record.event != DecisionEvent::kQueryReceived) {
+    throw Error(ErrorKind::kBadRequest,
+                "event: the first event must be query_received");
+  }
+  trace.lines.push_back({number, std::move(record)});
+}
+
+boost::json::object RequestToJson(const QueryRequest& request) {
+  return {{"service", request.service},
+          {"query", request.query},
+          {"deadline_ms", request.deadline.count()},
+          {"class", ToString(request.priority)},
+          {"min_coverage", request.min_coverage},
+          {"idempotent", request.idempotent},
+          {"request_id", request.request_id}};
+}
+
+}  // namespace
+
+Trace ParseTrace(std::string_view text) {
+  Trace trace;
+  std::size_t number = 0;
+  while (!text.empty()) {
+    const std::string_view line = text.substr(0, text.find('\n'));
+    text.remove_prefix(std::min(text.size(), line.size() + 1));
+    ++number;
+    if (line.find_first_not_of(" \t\r") == std::string_view::npos) {
+      continue;
+    }
+    try {
+      ParseLine(line, number, trace);
+    } catch (const Error& error) {
+      throw Error(ErrorKind::kBadRequest,
+                  "trace line " + std::to_string(number) + ": " + error.what());
+    }
+  }
+  if (trace.header.maps.empty()) {
+    throw Error(ErrorKind::kBadRequest, "trace line 1: the header is missing");
+  }
+  return trace;
+}
+
+std::string SerializeTraceHeader(const TraceHeader& header) {
+  boost::json::array maps;
+  for (const auto& map : header.maps) {
+    maps.push_back(boost::json::parse(SerializeShardMap(*map)));
+  }
+  boost::json::object gates;
+  for (const auto& [target, limits] : header.gates) {
+    gates[target] = {{"slots", limits.slots},
+                     {"cold_limit", limits.cold_limit},
+                     {"queue_length", limits.queue_length}};
+  }
+  const auto& policy = header.policy;
+  return boost::json::serialize(boost::json::object{
+      {"trace", kTraceVersion},
+      {"decision", header.decision},
+      {"seed", header.seed},
+      {"order", header.order == TraceOrder::kListed ? "listed" : "random"},
+      {"request", RequestToJson(header.request)},
+      {"policy",
+       {{"hedge_delay_ms", ToMilliseconds(policy.hedge_delay)},
+        {"early_answer", policy.early_answer},
+        {"deadline_margin_ms", ToMilliseconds(policy.deadline_margin)},
+        {"max_restarts", policy.max_restarts}}},
+      {"budgets",
+       {{"retry", header.retry_budget}, {"hedge", header.hedge_budget}}},
+      {"maps", std::move(maps)},
+      {"gates", std::move(gates)}});
+}
+
+std::string SerializeTrace(const Trace& trace) {
+  std::string text = SerializeTraceHeader(trace.header) + "\n";
+  for (const TraceLine& line : trace.lines) {
+    text += SerializeDecisionRecord(line.record) + "\n";
+  }
+  return text;
+}
+
+bool IsTraceInput(DecisionEvent event, bool with_gates) {
+  switch (event) {
+    case DecisionEvent::kQueryReceived:
+    case DecisionEvent::kResult:
+    case DecisionEvent::kFailure:
+    case DecisionEvent::kTimer:
+    case DecisionEvent::kCallerGone:
+    case DecisionEvent::kMapPublished:
+    case DecisionEvent::kLimitsSet:
+    case DecisionEvent::kAdmissionSet:
+      return true;
+    case DecisionEvent::kDispatched:
+    case DecisionEvent::kGateRejected:
+    case DecisionEvent::kGateEnqueued:
+    case DecisionEvent::kGateAborted:
+      return !with_gates;
+    default:
+      return false;
+  }
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/src/core/trace_player.cc
@@ -0,0 +1,312 @@
+#include "src/core/trace_player.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "auburnyard/decision_records.h"
+#include "auburnyard/error.h"
+
+namespace auburnyard::detail {
+
+namespace {
+
+// The core sees the trace's origin at a time well after the clock's epoch, so
+// that differences to earlier times stay representable.
+constexpr std::chrono::hours kOrigin{1};
+
+TargetReport ReportOf(const DecisionRecord& input) {
+  TargetReport report;
+  report.start_id = input.start_id;
+  report.draining = input.numbers.Find(NumberName::kDraining).value_or(0) != 0;
+  if (const auto load = input.numbers.Find(NumberName::kLoad)) {
+    report.load = static_cast<std::uint32_t>(*load);
+  }
+  return report;
+}
+
+RunState RunOf(const DecisionRecord& input) {
+  const std::uint64_t run =
+      input.numbers.Find(NumberName::kRun)
+          .value_or(static_cast<std::uint64_t>(RunState::kUnknown));
+  if (run > static_cast<std::uint64_t>(RunState::kRun)) {
+    throw Error(ErrorKind::kBadRequest, "numbers.run: expected 0, 1 or 2");
+  }
+  return static_cast<RunState>(run);
+}
+
+Reason ReasonOf(const DecisionRecord& input) {
+  if (!input.reason) {
+    throw Error(ErrorKind::kBadRequest, "reason: required for this event");
+  }
+  return *input.reason;
+}
+
+}  // namespace
+
+TracePlayer::TracePlayer(const TraceHeader& trace_header)
+    : header(trace_header),
+      random(trace_header.seed),
+      retry_tokens(trace_header.retry_budget),
+      hedge_tokens(trace_header.hedge_budget),
+      newest(trace_header.maps.front()) {
+  for (const auto& [target, limits] : trace_header.gates) {
+    this->gates.try_emplace(target, target, limits);
+  }
+}
+
+std::vector<DecisionRecord> TracePlayer::Feed(const DecisionRecord& input) {
+  this->records.clear();
+  this->time = input.time;
+  this->now = TimePoint(kOrigin) + input.time;
+  this->Route(input);
+  this->ApplyPending();
+  return std::move(this->records);
+}
+
+void TracePlayer::Route(const DecisionRecord& input) {
+  switch (input.event) {
+    case DecisionEvent::kQueryReceived:
+      return this->Receive(input);
+    case DecisionEvent::kDispatched:
+      return this->Take(
+          this->Machine().OnDispatched(this->IdOf(input), this->now));
+    case DecisionEvent::kGateRejected:
+      return this->Take(this->Machine().OnFailure(
+          this->IdOf(input), {ReasonOf(input), RunState::kNotRun}, this->now));
+    case DecisionEvent::kResult:
+    case DecisionEvent::kFailure:
+      return this->Reply(input);
+    case DecisionEvent::kTimer:
+      return this->FireTimers();
+    case DecisionEvent::kCallerGone:
+      return this->Take(this->Machine().OnCallerGone(this->now));
+    case DecisionEvent::kMapPublished:
+      return this->Publish(input);
+    case DecisionEvent::kLimitsSet:
+      return this->SetLimits(input);
+    case DecisionEvent::kAdmissionSet:
+      return this->SetAdmission(input);
+    default:
+      return;  // without gates, their other records are for information only
+  }
+}
+
+void TracePlayer::Receive(const DecisionRecord& /*input*/) {
+  if (this->machine) {
+    throw Error(ErrorKind::kBadRequest,
+                "event: a trace holds one query_received only");
+  }
+  this->machine.emplace(this->header.decision, this->header.request,
+                        this->newest, this->header.policy, this->MakeHooks(),
+                        this->now);
+  this->Take(this->machine->Start(this->now));
+}
+
+void TracePlayer::Reply(const DecisionRecord& input) {
+  const AttemptId id = this->IdOf(input);
+  // The gate learns of the free slot first, as in the daemon; a retry may use
+  // the same slot.
+  this->ReplyToGate(input, id);
+  if (input.event == DecisionEvent::kFailure) {
+    return this->Take(this->Machine().OnFailure(
+        id, {ReasonOf(input), RunOf(input)}, this->now));
+  }
+  PartialResult result;
+  result.snapshot = input.snapshot;
+  result.range = {input.numbers.Find(NumberName::kBegin).value_or(0),
+                  input.numbers.Find(NumberName::kEnd).value_or(0)};
+  result.items.emplace_back(input.attempt);
+  this->Take(this->Machine().OnResult(id, std::move(result), this->now));
+}
+
+void TracePlayer::ReplyToGate(const DecisionRecord& input,
+                              const AttemptId& id) {
+  if (this->gates.empty()) {
+    return;
+  }
+  TargetGate& gate = this->GateOf(input.target);
+  if (input.reason == Reason::kRetryConnectionFailed) {
+    return this->Take(gate, gate.OnConnectionLost(id, this->now));
+  }
+  ReplyOutcome outcome = ReplyOutcome::kOk;
+  if (input.event == DecisionEvent::kFailure) {
+    outcome = RunOf(input) == RunState::kNotRun
+                  ? ReplyOutcome::kRefusedBeforeStart
+                  : ReplyOutcome::kFailed;
+  }
+  this->Take(gate, gate.OnReply(id, outcome, ReportOf(input), this->now));
+}
+
+void TracePlayer::SetLimits(const DecisionRecord& input) {
+  TargetGate& gate = this->GateOf(input.target);
+  GateLimits limits = this->header.gates.find(input.target)->second;
+  const auto number = [&input](NumberName name, std::uint64_t fallback) {
+    return input.numbers.Find(name).value_or(fallback);
+  };
+  limits.slots =
+      static_cast<std::uint32_t>(number(NumberName::kSlots, limits.slots));
+  limits.cold_limit = static_cast<std::uint32_t>(
+      number(NumberName::kColdLimit, limits.cold_limit));
+  limits.queue_length = number(NumberName::kQueueLength, limits.queue_length);
+  this->Take(gate, gate.SetLimits(limits, this->now));
+}
+
+void TracePlayer::SetAdmission(const DecisionRecord& input) {
+  TargetGate& gate = this->GateOf(input.target);
+  const GateAdmission admission{
+      .domain_in = input.numbers.Find(NumberName::kDomainIn).value_or(1) != 0,
+      .leaving = input.numbers.Find(NumberName::kLeaving).value_or(0) != 0};
+  this->Take(gate, gate.SetAdmission(admission, this->now));
+}
+
+void TracePlayer::Publish(const DecisionRecord& input) {
+  const auto& maps = this->header.maps;
+  const auto found = std::find_if(
+      maps.begin(), maps.end(),
+      [&input](const auto& map) { return map->snapshot == input.snapshot; });
+  if (found == maps.end()) {
+    throw Error(
+        ErrorKind::kBadRequest,
+        "snapshot: the header has no map of \"" + input.snapshot + "\"");
+  }
+  this->newest = *found;
+}
+
+void TracePlayer::FireTimers() {
+  for (auto& [target, gate] : this->gates) {
+    this->Take(gate, gate.OnTimer(this->now));
+  }
+  this->Take(this->Machine().OnTimer(this->now));
+}
+
+void TracePlayer::Take(std::vector<QueryAction> actions) {
+  for (QueryAction& action : actions) {
+    this->records.push_back(
+        MakeRecord(this->header.decision, action, this->time));
+    this->pending.push_back(std::move(action));
+  }
+}
+
+void TracePlayer::ApplyPending() {
+  while (!this->pending.empty()) {
+    const QueryAction action = std::move(this->pending.front());
+    this->pending.pop_front();
+    std::visit([this](const auto& item) { this->Apply(item); }, action);
+  }
+}
+
+void TracePlayer::Apply(const StartAttempt& action) {
+  this->attempts.emplace(AttemptNumberOf(action.id), action.id);
+  if (this->gates.empty()) {
+    return;
+  }
+  TargetGate& gate = this->GateOf(action.target);
+  this->records.push_back(MakeEnqueuedRecord(gate, action.id, this->time));
+  const GateRequest request{.id = action.id,
+                            .priority = this->header.request.priority,
+                            .deadline = this->Machine().deadline(),
+                            .idempotent = this->header.request.idempotent};
+  this->Take(gate, gate.Enqueue(request, this->now));
+}
+
+void TracePlayer::Apply(const CancelAttempt& action) {
+  if (!this->gates.empty()) {
+    TargetGate& gate = this->GateOf(action.target);
+    this->Take(gate, gate.Cancel(action.id, action.reason, this->now));
+  }
+}
+
+void TracePlayer::Take(TargetGate& gate,
+                       const std::vector<GateAction>& actions) {
+  for (const GateAction& action : actions) {
+    this->records.push_back(MakeRecord(gate, action, this->time));
+    if (const auto* dispatch = std::get_if<DispatchAttempt>(&action)) {
+      this->Take(this->Machine().OnDispatched(dispatch->id, this->now));
+    } else if (const auto* reject = std::get_if<RejectAttempt>(&action)) {
+      this->Take(this->Machine().OnFailure(
+          reject->id, {reject->reason, RunState::kNotRun}, this->now));
+    }
+  }
+}
+
+TargetGate& TracePlayer::GateOf(const std::string& target) {
+  const auto found = this->gates.find(target);
+  if (found == this->gates.end()) {
+    throw Error(ErrorKind::kBadRequest,
+                "target: the header has no gate of \"" + target + "\"");
+  }
+  return found->second;
+}
+
+QueryMachine& TracePlayer::Machine() {
+  if (!this->machine) {
+    throw Error(ErrorKind::kBadRequest,
+                "event: the query has not been received yet");
+  }
+  return *this->machine;
+}
+
+AttemptId TracePlayer::IdOf(const DecisionRecord& input) const {
+  const auto found = this->attempts.find(input.attempt);
+  if (found == this->attempts.end()) {
+    throw Error(ErrorKind::kBadRequest,
+                "attempt: the query machine has not started this attempt");
+  }
+  return found->second;
+}
+
+QueryHooks TracePlayer::MakeHooks() {
+  return {
+      .order_replicas =
+          [this](const Shard& shard, const std::vector<std::string>& tried) {
+            return this->Order(shard, tried);
+          },
+      .take_retry =
+          [this] {
+            return this->TakeToken(this->retry_tokens, DecisionEvent::kRetry,
+                                   Reason::kRetryBudgetEmpty);
+          },
+      .take_hedge =
+          [this] {
+            return this->TakeToken(this->hedge_tokens, DecisionEvent::kHedge,
+                                   Reason::kHedgeBudgetEmpty);
+          },
+      .newest_map = [this] { return this->newest; }};
+}
+
+std::vector<std::string> TracePlayer::Order(
+    const Shard& shard,
+    const std::vector<std::string>& tried) {
+  std::vector<std::string> order;
+  for (const std::string& target : shard.targets) {
+    if (std::find(tried.begin(), tried.end(), target) == tried.end()) {
+      order.push_back(target);
+    }
+  }
+  if (this->header.order == TraceOrder::kRandom) {
+    // std::shuffle gives different results in different libraries; a trace must
+    // not.
+    for (std::size_t i = order.size(); i > 1; --i) {
+      std::swap(order[i - 1], order[this->random() % i]);
+    }
+  }
+  return order;
+}
+
+bool TracePlayer::TakeToken(std::uint32_t& tokens,
+                            DecisionEvent event,
+                            Reason reason) {
+  if (tokens > 0) {
+    --tokens;
+    return true;
+  }
+  DecisionRecord record;
+  record.time = this->time;
+  record.decision = this->header.decision;
+  record.event = event;
+  record.reason = reason;
+  this->records.push_back(std::move(record));
+  return false;
+}
+
+}  // namespace auburnyard::detail
--- /dev/null
+++ b/src/core/trace_player.h
@@ -0,0 +1,70 @@
+#ifndef AUBURNYARD_SRC_CORE_TRACE_PLAYER_H_
+#define AUBURNYARD_SRC_CORE_TRACE_PLAYER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "auburnyard/query_machine.h"
+#include "auburnyard/target_gate.h"
+#include "auburnyard/trace.h"
+
+namespace auburnyard::detail {
+
+/// Feeds trace inputs to one query machine and the gates of the header. The
+/// time is that of the input, so nothing depends on the machine's clock.
+class TracePlayer {
+ public:
+  explicit TracePlayer(const TraceHeader& header);
+
+  /// Feeds one input and returns records of all actions it led to. Throws
+  /// Error(kBadRequest) if the input does not fit the decision.
+  std::vector<DecisionRecord> Feed(const DecisionRecord& input);
+
+ private:
+  void Route(const DecisionRecord& input);
+  void Receive(const DecisionRecord& input);
+  void Reply(const DecisionRecord& input);
+  void ReplyToGate(const DecisionRecord& input, const AttemptId& id);
+  void SetLimits(const DecisionRecord& input);
+  void SetAdmission(const DecisionRecord& input);
+  void Publish(const DecisionRecord& input);
+  void FireTimers();
+  void Take(std::vector<QueryAction> actions);
+  void Apply(const StartAttempt& action);
+  void Apply(const CancelAttempt& action);
+  void Apply(const FinishWithAnswer&) {}
+  void Apply(const FinishWithRefusal&) {}
+  void Take(TargetGate& gate, const std::vector<GateAction>& actions);
+  void ApplyPending();
+
+  TargetGate& GateOf(const std::string& target);
+  QueryMachine& Machine();
+  AttemptId IdOf(const DecisionRecord& input) const;
+  QueryHooks MakeHooks();
+  std::vector<std::string> Order(const Shard& shard,
+                                 const std::vector<std::string>& tried);
+  bool TakeToken(std::uint32_t& tokens, DecisionEvent event, Reason reason);
+
+  const TraceHeader& header;
+  std::mt19937_64 random;
+  std::uint32_t retry_tokens;
+  std::uint32_t hedge_tokens;
+  std::shared_ptr<const ShardMap> newest;
+  std::map<std::string, TargetGate, std::less<>> gates;
+  std::map<std::uint32_t, AttemptId> attempts;
+  std::optional<QueryMachine> machine;
+  std::deque<QueryAction> pending;
+  std::vector<DecisionRecord> records;
+  Duration time{0};
+  TimePoint now;
+};
+
+}  // namespace auburnyard::detail
+
+#endif  // AUBURNYARD_SRC_CORE_TRACE_PLAYER_H_
