Add faults, control interface and records to target-standin

Every sub-request is recorded by request and attempt identifier, so that at-most-once and "not run" can be audited from outside.

A duplicate reply is the previous reply delivered again in place of the present one: the HTTP server answers a request once, and sending two responses would need a change that no other user of the server wants.

--- /dev/null
+++ b/util/common/control_server.h
@@ -0,0 +1,19 @@
+#ifndef AUBURNYARD_UTIL_COMMON_CONTROL_SERVER_H_
+#define AUBURNYARD_UTIL_COMMON_CONTROL_SERVER_H_
+
+#include <memory>
+#include <string>
+
+#include "src/net/http_server.h"
+
+namespace auburnyard::util {
+
+/// Serves the control interface of a program at IP:port and prints the address.
+/// An empty address serves nothing. Throws Error(kConnection).
+std::shared_ptr<HttpServer> ServeControl(boost::asio::io_context& context,
+                                         const std::string& address,
+                                         HttpHandler handler);
+
+}  // namespace auburnyard::util
+
+#endif  // AUBURNYARD_UTIL_COMMON_CONTROL_SERVER_H_
--- a/util/target_standin/main.cc
+++ b/util/target_standin/main.cc
@@ -3,16 +3,17 @@
 #include <random>
 #include <vector>
 
-#include "src/net/http_client.h"
 #include "util/common/command_line.h"
+#include "util/common/control_server.h"
 #include "util/common/program.h"
-#include "util/target_standin/target_service.h"
+#include "util/target_standin/target_control.h"
 
 namespace auburnyard::util {
 
 namespace {
 
-constexpr std::array<OptionSpec, 3> kOptions = {{
+constexpr std::array<OptionSpec, 4> kOptions = {{
+    {"control", "IP:port", "address of the control interface"},
     {"targets", "FILE", "JSON file with the targets"},
     {"target", "NAME=VALUE,...", "one target; may be repeated"},
     {"threads", "N", "worker threads (default 2)"},
@@ -43,6 +44,12 @@
     std::printf("target %s %s:%u\n", target.id.c_str(), target.host.c_str(),
                 services.back()->port());
   }
+  const auto control = std::make_shared<TargetControl>(services);
+  const auto server = ServeControl(
+      context, options.Get("control", ""),
+      [control](const HttpRequest& request, const HttpResponder& respond) {
+        control->Handle(request, respond);
+      });
   std::printf("ready\n");
   std::fflush(stdout);
   RunUntilSignal(context, options.Integer("threads", 2));
--- a/util/target_standin/target_options.cc
+++ b/util/target_standin/target_options.cc
@@ -3,10 +3,10 @@
 #include <limits>
 
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 
 #include "src/core/json_reader.h"
 #include "src/net/http_client.h"
+#include "util/common/named_values.h"
 
 namespace auburnyard::util {
 
@@ -14,6 +14,7 @@
 
 constexpr std::uint32_t kMaxCount = 100'000;
 constexpr double kMaxMs = 600'000;
+constexpr double kMaxSigma = 10;
 
 std::uint32_t Count(const detail::JsonReader& reader,
                     std::string_view name,
@@ -22,16 +23,6 @@
       reader.Integer(name, 0, kMaxCount, fallback));
 }
 
-LatencyOptions ParseLatency(const detail::JsonReader& reader) {
-  LatencyOptions latency;
-  latency.median_ms = reader.Number("median_ms", 0, kMaxMs, latency.median_ms);
-  latency.sigma = reader.Number("sigma", 0, 10, latency.sigma);
-  latency.slow_share = reader.Number("slow_share", 0, 1, latency.slow_share);
-  latency.slow_factor =
-      reader.Number("slow_factor", 0, kMaxMs, latency.slow_factor);
-  return latency;
-}
-
 TargetOptions ParseTarget(const detail::JsonReader& reader) {
   reader.AllowOnly({"id", "address", "domain", "slots", "queue_length",
                     "connections", "connection_cost_ms", "cold_limit",
@@ -53,7 +44,7 @@
   target.cold_penalty =
       reader.Number("cold_penalty", 1, kMaxMs, target.cold_penalty);
   target.start_cold = reader.Boolean("start_cold", target.start_cold);
-  target.latency = ParseLatency(reader);
+  target.latency = ParseLatency(reader, {});
   target.seed = reader.Integer(
       "seed", 0, std::numeric_limits<std::uint64_t>::max(), target.seed);
   if (reader.Has("snapshots")) {
@@ -65,14 +56,18 @@
   return target;
 }
 
-boost::json::value ParseScalar(std::string_view text) {
-  boost::json::error_code error;
-  boost::json::value value = boost::json::parse(text, error);
-  return error || value.is_object() ? boost::json::value(text) : value;
-}
-
 }  // namespace
 
+LatencyOptions ParseLatency(const detail::JsonReader& reader,
+                            LatencyOptions latency) {
+  latency.median_ms = reader.Number("median_ms", 0, kMaxMs, latency.median_ms);
+  latency.sigma = reader.Number("sigma", 0, kMaxSigma, latency.sigma);
+  latency.slow_share = reader.Number("slow_share", 0, 1, latency.slow_share);
+  latency.slow_factor =
+      reader.Number("slow_factor", 0, kMaxMs, latency.slow_factor);
+  return latency;
+}
+
 std::vector<TargetOptions> ParseTargetFile(std::string_view json) {
   const boost::json::value document =
       detail::ParseJson(json, ErrorKind::kBadSettings, /*comments=*/true);
@@ -88,21 +83,8 @@
 }
 
 TargetOptions ParseTargetOption(std::string_view text) {
-  boost::json::object members;
-  while (!text.empty()) {
-    const std::string_view pair = text.substr(0, text.find(','));
-    text.remove_prefix(std::min(text.size(), pair.size() + 1));
-    const std::size_t equals = pair.find('=');
-    if (equals == std::string_view::npos) {
-      throw Error(ErrorKind::kBadSettings,
-                  "--target: expected NAME=VALUE, not " + std::string(pair));
-    }
-    const std::string_view name = pair.substr(0, equals);
-    const std::string_view value = pair.substr(equals + 1);
-    members[name] = name == "id" || name == "address" || name == "domain"
-                        ? boost::json::value(value)
-                        : ParseScalar(value);
-  }
+  const boost::json::value members =
+      ParseNamedValues(text, {"id", "address", "domain"});
   return ParseTarget(
       detail::JsonReader(members, "--target", ErrorKind::kBadSettings));
 }
--- a/util/target_standin/target_options.h
+++ b/util/target_standin/target_options.h
@@ -7,6 +7,10 @@
 #include <string_view>
 #include <vector>
 
+namespace auburnyard::detail {
+class JsonReader;
+}
+
 namespace auburnyard::util {
 
 /// Latency of one execution: a lognormal body and a share of slow requests.
@@ -36,6 +40,10 @@
   std::uint64_t seed = 1;
 };
 
+/// Reads "median_ms", "sigma", "slow_share" and "slow_factor"; absent members
+/// keep the value of `latency`.
+LatencyOptions ParseLatency(const detail::JsonReader& reader,
+                            LatencyOptions latency);
 /// Parses {"targets": [{"id", "address", ...}]} with comments. Throws
 /// Error(kBadSettings).
 std::vector<TargetOptions> ParseTargetFile(std::string_view json);
--- a/util/target_standin/target_service.cc
+++ b/util/target_standin/target_service.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "src/core/json_reader.h"
 #include "util/common/expected_items.h"
 #include "util/common/json_reply.h"
@@ -13,6 +15,10 @@
 
 namespace {
 
+constexpr std::uint64_t kMaxDownMs = 3'600'000;
+// A crashed target without "down_ms" stays down until "restart".
+constexpr std::uint64_t kNeverMs = kMaxDownMs;
+constexpr std::uint64_t kMaxCount = 100'000;
 constexpr std::uint64_t kMaxKey = std::numeric_limits<std::uint64_t>::max();
 
 SubRequest ParseSubRequest(const HttpRequest& request, TimePoint now) {
@@ -46,16 +52,19 @@
                              std::uint64_t process_nonce)
     : context(io_context),
       clock(service_clock),
-      model(options, process_nonce) {}
+      model(options, process_nonce),
+      distorter(io_context, options.seed) {}
 
 void TargetService::Listen() {
   HttpServerLimits limits;
   limits.max_connections = this->model.options.connections;
-  this->server = std::make_shared<HttpServer>(
+  this->server = std::make_shared<RestartableServer>(
       this->context, limits,
-      [self = this->shared_from_this()](const HttpRequest& request,
-                                        const HttpResponder& respond) {
-        self->Receive(request, respond);
+      [weak = this->weak_from_this()](const HttpRequest& request,
+                                      const HttpResponder& respond) {
+        if (const auto self = weak.lock()) {
+          self->Receive(request, respond);
+        }
       });
   this->server->Listen(this->model.options.host, this->model.options.port);
   this->model.options.port = this->server->port();
@@ -63,30 +72,39 @@
 
 void TargetService::Receive(const HttpRequest& request,
                             const HttpResponder& respond) {
+  std::unique_lock lock(this->mutex);
+  if (this->faults.frozen) {
+    this->frozen_work.emplace_back(
+        [self = this->shared_from_this(), request, respond] {
+          self->Receive(request, respond);
+        });
+    return;
+  }
   const Duration cost = this->model.options.connection_cost;
   if (request.number != 1 || cost == Duration::zero()) {
+    lock.unlock();
     this->Handle(request, respond);
     return;
   }
   // A target sets up one connection at a time.
-  TimePoint ready;
-  {
-    const std::lock_guard lock(this->mutex);
-    this->setup_ready = std::max(this->setup_ready, this->clock.Now()) + cost;
-    ready = this->setup_ready;
-  }
-  const auto timer =
-      std::make_shared<boost::asio::steady_timer>(this->context, ready);
+  this->setup_ready = std::max(this->setup_ready, this->clock.Now()) + cost;
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      this->context, this->setup_ready);
   timer->async_wait([self = this->shared_from_this(), timer, request,
                      respond](boost::system::error_code) {
-    try {
-      self->Handle(request, respond);
-    } catch (const Error& error) {
-      respond(ErrorReply(error.kind(), error.what()));
-    }
+    self->HandleChecked(request, respond);
   });
 }
 
+void TargetService::HandleChecked(const HttpRequest& request,
+                                  const HttpResponder& respond) {
+  try {
+    this->Handle(request, respond);
+  } catch (const Error& error) {
+    respond(ErrorReply(error.kind(), error.what()));
+  }
+}
+
 void TargetService::Handle(const HttpRequest& request,
                            const HttpResponder& respond) {
   if (request.path == "/v1/execute" && request.method == "POST") {
@@ -156,10 +174,21 @@
 
 void TargetService::Complete(ExecutionId id) {
   const std::lock_guard lock(this->mutex);
-  if (!this->model.Finish(id, this->clock.Now())) {
+  if (this->faults.frozen) {
+    this->frozen_work.emplace_back(
+        [self = this->shared_from_this(), id] { self->Complete(id); });
     return;
   }
-  this->Reply(id, this->ResultReply(this->model.RequestOf(id)));
+  const auto found = this->pending.find(id);
+  if (found == this->pending.end() ||
+      !this->model.Finish(id, this->clock.Now())) {
+    return;
+  }
+  const HttpResponder respond = std::move(found->second.respond);
+  this->pending.erase(found);
+  const SubRequest& request = this->model.RequestOf(id);
+  this->distorter.Deliver(request, this->ResultReply(request), respond,
+                          this->faults);
   this->StartWork();
 }
 
@@ -204,7 +233,7 @@
   respond(std::move(reply));
 }
 
-HttpResponse TargetService::ResultReply(const SubRequest& request) const {
+HttpResponse TargetService::ResultReply(const SubRequest& request) {
   HttpResponse reply =
       JsonReply({{"attempt", request.attempt_id},
                  {"snapshot", request.snapshot},
@@ -221,15 +250,14 @@
   return reply;
 }
 
-HttpResponse TargetService::RefusalReply(const std::string& detail) const {
+HttpResponse TargetService::RefusalReply(const std::string& detail) {
   HttpResponse reply = ErrorReply(ErrorKind::kOverloaded, detail);
   reply.headers.emplace_back("X-Not-Started", "1");
   this->AddReportHeaders(reply);
   return reply;
 }
 
-HttpResponse TargetService::AbsentSnapshotReply(
-    const SubRequest& request) const {
+HttpResponse TargetService::AbsentSnapshotReply(const SubRequest& request) {
   HttpResponse reply = ErrorReply(
       ErrorKind::kConflict, request.snapshot + ": not held for the range");
   reply.headers.emplace_back("X-Snapshot",
@@ -239,11 +267,124 @@
   return reply;
 }
 
-void TargetService::AddReportHeaders(HttpResponse& reply) const {
+void TargetService::AddReportHeaders(HttpResponse& reply) {
   reply.headers.emplace_back("X-Start-Id", this->model.start_id());
-  reply.headers.emplace_back("X-Load", std::to_string(this->model.load()));
+  if (const auto load = this->reporter.Report(this->model.load(), this->faults,
+                                              this->clock.Now())) {
+    reply.headers.emplace_back("X-Load", std::to_string(*load));
+  }
   reply.headers.emplace_back(
       "X-Drain", this->model.draining || this->model.leaving ? "1" : "0");
 }
 
+void TargetService::Control(const detail::JsonReader& reader) {
+  const auto down = std::chrono::milliseconds(
+      reader.Integer("down_ms", 0, kMaxDownMs, kNeverMs));
+  bool thaw = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    const bool was_frozen = this->faults.frozen;
+    this->faults = ParseTargetFaults(reader, this->faults);
+    thaw = was_frozen && !this->faults.frozen;
+    this->model.latency.SetOptions(
+        ParseLatency(reader, this->model.latency.current()));
+    this->model.draining = reader.Boolean("draining", this->model.draining);
+    this->model.leaving = reader.Boolean("leaving", this->model.leaving);
+    this->ChangeLimits(reader);
+    if (reader.Has("snapshot")) {
+      this->ChangeSnapshot(reader.Child("snapshot"));
+    }
+    this->StartWork();
+  }
+  if (thaw) {
+    this->Thaw();
+  }
+  if (reader.Has("action")) {
+    this->RunAction(reader.String("action"), down);
+  }
+}
+
+void TargetService::ChangeLimits(const detail::JsonReader& reader) {
+  TargetOptions& options = this->model.options;
+  options.slots = static_cast<std::uint32_t>(
+      reader.Integer("slots", 0, kMaxCount, options.slots));
+  options.queue_length = static_cast<std::uint32_t>(
+      reader.Integer("queue_length", 0, kMaxCount, options.queue_length));
+}
+
+void TargetService::ChangeSnapshot(const detail::JsonReader& reader) {
+  reader.AllowOnly({"service", "id", "ranges", "keep_older"});
+  std::vector<KeyRange> ranges;
+  if (reader.Has("ranges")) {
+    for (const boost::json::value& range : reader.Array("ranges")) {
+      const detail::JsonReader part(range, reader.PathOf("ranges"),
+                                    ErrorKind::kBadRequest);
+      ranges.push_back(
+          {part.Integer("begin", 0, kMaxKey), part.Integer("end", 0, kMaxKey)});
+    }
+  }
+  this->model.snapshots.Set(reader.String("service", ""), reader.String("id"),
+                            std::move(ranges),
+                            reader.Boolean("keep_older", true));
+}
+
+void TargetService::RunAction(const std::string& action, Duration down) {
+  if (action == "crash") {
+    this->Crash();
+    if (down < std::chrono::milliseconds(kNeverMs)) {
+      this->server->ComeBack(down);
+    }
+  } else if (action == "restart") {
+    this->Crash();
+    this->server->ComeBack(Duration::zero());
+  } else if (action == "chill") {
+    const std::lock_guard lock(this->mutex);
+    this->model.Chill();
+  } else {
+    throw Error(ErrorKind::kBadRequest,
+                "action: expected \"crash\", \"restart\" or \"chill\"");
+  }
+}
+
+void TargetService::Crash() {
+  this->server->GoDown();
+  const std::lock_guard lock(this->mutex);
+  for (auto& [id, entry] : this->pending) {
+    if (entry.timer) {
+      entry.timer->cancel();
+    }
+  }
+  this->pending.clear();
+  this->frozen_work.clear();
+  this->distorter.Clear();
+  this->faults.frozen = false;
+  this->model.Restart(this->clock.Now());
+}
+
+void TargetService::Thaw() {
+  std::vector<std::function<void()>> work;
+  {
+    const std::lock_guard lock(this->mutex);
+    work.swap(this->frozen_work);
+  }
+  for (std::function<void()>& item : work) {
+    boost::asio::post(this->context, std::move(item));
+  }
+}
+
+boost::json::object TargetService::Status() const {
+  const std::lock_guard lock(this->mutex);
+  return this->model.ToJson();
+}
+
+std::vector<ExecutionRecord> TargetService::Records() const {
+  const std::lock_guard lock(this->mutex);
+  return {this->model.all_records().begin(), this->model.all_records().end()};
+}
+
+void TargetService::ResetRecords() {
+  const std::lock_guard lock(this->mutex);
+  this->model.ResetRecords();
+}
+
 }  // namespace auburnyard::util
--- a/util/target_standin/target_service.h
+++ b/util/target_standin/target_service.h
@@ -1,15 +1,21 @@
 #ifndef AUBURNYARD_UTIL_TARGET_STANDIN_TARGET_SERVICE_H_
 #define AUBURNYARD_UTIL_TARGET_STANDIN_TARGET_SERVICE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "src/net/http_server.h"
+#include "util/common/restartable_server.h"
+#include "util/target_standin/load_reporter.h"
+#include "util/target_standin/reply_distorter.h"
+#include "util/target_standin/target_faults.h"
 #include "util/target_standin/target_model.h"
 
 namespace auburnyard::util {
@@ -27,6 +33,16 @@
   std::uint16_t port() const { return this->server->port(); }
   void Handle(const HttpRequest& request, const HttpResponder& respond);
 
+  /// Applies the members of a control request: faults, latency, limits,
+  /// snapshots and an action. Throws Error(kBadRequest).
+  void Control(const detail::JsonReader& reader);
+  boost::json::object Status() const;
+  std::vector<ExecutionRecord> Records() const;
+  void ResetRecords();
+  /// `options` of the target; identifier and domain never change.
+  const std::string& id() const { return this->model.options.id; }
+  const std::string& domain() const { return this->model.options.domain; }
+
  private:
   struct Pending {
     HttpResponder respond;
@@ -34,6 +50,12 @@
   };
 
   void Receive(const HttpRequest& request, const HttpResponder& respond);
+  void HandleChecked(const HttpRequest& request, const HttpResponder& respond);
+  void Crash();
+  void Thaw();
+  void RunAction(const std::string& action, Duration down);
+  void ChangeSnapshot(const detail::JsonReader& reader);
+  void ChangeLimits(const detail::JsonReader& reader);
   void HandleExecute(const HttpRequest& request, const HttpResponder& respond);
   HttpResponse HandleCancel(const HttpRequest& request);
   void StartWork();
@@ -41,17 +63,21 @@
   void Complete(ExecutionId id);
   void CancelAbandoned(ExecutionId id);
   void Reply(ExecutionId id, HttpResponse reply);
-  HttpResponse ResultReply(const SubRequest& request) const;
-  HttpResponse RefusalReply(const std::string& detail) const;
-  HttpResponse AbsentSnapshotReply(const SubRequest& request) const;
-  void AddReportHeaders(HttpResponse& reply) const;
+  HttpResponse ResultReply(const SubRequest& request);
+  HttpResponse RefusalReply(const std::string& detail);
+  HttpResponse AbsentSnapshotReply(const SubRequest& request);
+  void AddReportHeaders(HttpResponse& reply);
 
   boost::asio::io_context& context;
   const Clock& clock;
-  std::shared_ptr<HttpServer> server;
+  std::shared_ptr<RestartableServer> server;
   mutable std::mutex mutex;
   TargetModel model;
   std::map<ExecutionId, Pending> pending;
+  TargetFaults faults;
+  LoadReporter reporter;
+  ReplyDistorter distorter;
+  std::vector<std::function<void()>> frozen_work;
   TimePoint setup_ready;  ///< when the set-up of the last connection ends
 };
 
