--- a/util/platform_standin/main.cc
+++ b/util/platform_standin/main.cc
@@ -1,27 +1,25 @@
 #include <array>
 #include <cstdio>
-#include <thread>
 
 #include "src/net/http_client.h"
-#include "src/net/http_server.h"
 #include "util/common/command_line.h"
+#include "util/common/control_server.h"
 #include "util/common/program.h"
-#include "util/platform_standin/platform_service.h"
+#include "util/platform_standin/platform_front.h"
 
 namespace auburnyard::util {
 
 namespace {
 
-constexpr std::array<OptionSpec, 4> kOptions = {{
+constexpr std::array<OptionSpec, 6> kOptions = {{
     {"listen", "IP:port", "address of the key-value service"},
+    {"control", "IP:port", "address of the control interface"},
     {"initial-keys", "FILE", "JSON object of keys and values to start with"},
     {"threads", "N", "worker threads (default 2)"},
     {"max-connections", "N", "connection limit (default 4096)"},
+    {"seed", "N", "seed of the share of lost replies (default 1)"},
 }};
 
-// Values may be up to 1 MB; JSON escapes can double their size.
-constexpr std::uint64_t kMaxBodyBytes = 2'200'000;
-
 int Run(int argc, const char** argv) {
   const CommandLine options(argc, argv, kOptions);
   const HostPort listen =
@@ -32,17 +30,17 @@
   if (options.Has("initial-keys")) {
     service->LoadInitialKeys(ReadFile(options.Get("initial-keys", "")));
   }
-  HttpServerLimits limits;
-  limits.max_connections = options.Integer("max-connections", 4096);
-  limits.max_body_bytes = kMaxBodyBytes;
-  const auto server = std::make_shared<HttpServer>(
-      context, limits,
-      [service](const HttpRequest& request, const HttpResponder& respond) {
-        service->Handle(request, respond);
-      });
-  server->Listen(listen.host, listen.port);
+  const auto front = std::make_shared<PlatformFront>(
+      context, clock, service, options.Integer("seed", 1));
+  front->Listen(listen.host, listen.port,
+                options.Integer("max-connections", 4096));
   service->Start();
-  std::printf("ready %s:%u\n", listen.host.c_str(), server->port());
+  const auto control = ServeControl(
+      context, options.Get("control", ""),
+      [front](const HttpRequest& request, const HttpResponder& respond) {
+        front->HandleControl(request, respond);
+      });
+  std::printf("listen %s:%u\nready\n", listen.host.c_str(), front->port());
   std::fflush(stdout);
   RunUntilSignal(context, options.Integer("threads", 2));
   return 0;
--- a/util/platform_standin/platform_service.cc
+++ b/util/platform_standin/platform_service.cc
@@ -231,6 +231,44 @@
   }
 }
 
+void PlatformService::Checkpoint() {
+  const std::lock_guard lock(this->mutex);
+  this->checkpoint = this->store;
+}
+
+void PlatformService::Restore() {
+  const std::lock_guard lock(this->mutex);
+  this->store = this->checkpoint;
+  // A watch that waits for a change after a lost revision would miss every
+  // change up to it.
+  for (const Watcher& watcher : this->watchers) {
+    watcher.respond(this->WatchReply(watcher.prefix, watcher.after));
+    watcher.timer->cancel();
+  }
+  this->watchers.clear();
+}
+
+void PlatformService::DropWatches(bool answer) {
+  const std::lock_guard lock(this->mutex);
+  for (const Watcher& watcher : this->watchers) {
+    if (answer) {
+      watcher.respond(ErrorReply(ErrorKind::kPlatformUnavailable, "outage"));
+    }
+    watcher.timer->cancel();
+  }
+  this->watchers.clear();
+}
+
+std::uint64_t PlatformService::revision() const {
+  const std::lock_guard lock(this->mutex);
+  return this->store.revision();
+}
+
+std::size_t PlatformService::waiting_watches() const {
+  const std::lock_guard lock(this->mutex);
+  return this->watchers.size();
+}
+
 void PlatformService::Start() {
   this->ArmExpiry();
 }
--- a/util/platform_standin/platform_service.h
+++ b/util/platform_standin/platform_service.h
@@ -26,6 +26,14 @@
   void LoadInitialKeys(std::string_view json);
   /// Starts to expire leases.
   void Start();
+  /// Keeps a copy of the contents.
+  void Checkpoint();
+  /// Returns to the copied contents, with their lower revisions.
+  void Restore();
+  /// Answers all waiting watches with an outage, or not at all.
+  void DropWatches(bool answer);
+  std::uint64_t revision() const;
+  std::size_t waiting_watches() const;
 
  private:
   struct Watcher {
@@ -47,8 +55,9 @@
   boost::asio::io_context& context;
   const Clock& clock;
   boost::asio::steady_timer expiry_timer;
-  std::mutex mutex;
+  mutable std::mutex mutex;
   KeyValueStore store;
+  KeyValueStore checkpoint;
   std::list<Watcher> watchers;
 };
 
