Add membership, ownership shares and the peer bus

Entry hosts need a common view of their ownership group, so that two hosts that both believe they own a target never use more than its limit together.

The limit of a target is divided into one token per group member. A host uses its own token and those that members grant it by acknowledging its heartbeat with the positions (member list and live subset) that bind them.

The bus owns one ROUTER and one DEALER per peer on one thread, with bounded queues and counters per message kind.

--- /dev/null
+++ b/src/net/peer_bus.cc
@@ -0,0 +1,254 @@
+#include "src/net/peer_bus.h"
+
+#include <array>
+
+#include <openssl/crypto.h>
+
+#include "auburnyard/error.h"
+
+namespace auburnyard {
+
+namespace {
+
+constexpr const char* kWakeAddress = "inproc://wake";
+// A cut connection is closed after this time. TCP alone retransmits with
+// growing delays, which would keep a peer silent long after a partition ended.
+constexpr int kMaxRetransmitMs = 3'000;
+constexpr int kReconnectMs = 100;
+constexpr int kMaxReconnectMs = 2'000;
+// Messages read in a row before outbound messages get their turn.
+constexpr int kReceiveBatch = 256;
+
+std::size_t KindOf(const proto::Envelope& envelope) {
+  return static_cast<std::size_t>(envelope.body_case()) -
+         static_cast<std::size_t>(proto::Envelope::kHeartbeat);
+}
+
+}  // namespace
+
+PeerBus::PeerBus(PeerBusOptions bus_options, Receiver on_receive)
+    : options(std::move(bus_options)),
+      receiver(std::move(on_receive)),
+      nonce(this->options.nonce),
+      context(1),
+      router(this->context, zmq::socket_type::router),
+      wake_receiver(this->context, zmq::socket_type::pull),
+      wake_sender(this->context, zmq::socket_type::push) {
+  this->Bind();
+  this->wake_receiver.bind(kWakeAddress);
+  this->wake_sender.set(zmq::sockopt::linger, 0);
+  this->wake_sender.connect(kWakeAddress);
+}
+
+PeerBus::~PeerBus() {
+  this->Stop();
+}
+
+void PeerBus::Bind() {
+  this->router.set(zmq::sockopt::linger, 0);
+  // Guards memory; smaller messages above the limit are dropped and counted.
+  this->router.set(
+      zmq::sockopt::maxmsgsize,
+      static_cast<std::int64_t>(2 * this->options.max_message_bytes));
+  try {
+    this->router.bind("tcp://" + this->options.listen);
+  } catch (const zmq::error_t& error) {
+    throw Error(ErrorKind::kConnection, "cannot listen for peers on " +
+                                            this->options.listen + ": " +
+                                            error.what());
+  }
+  if (this->options.address.empty()) {
+    constexpr std::size_t kPrefix = std::string_view("tcp://").size();
+    this->options.address =
+        this->router.get(zmq::sockopt::last_endpoint).substr(kPrefix);
+  }
+}
+
+void PeerBus::Start() {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void PeerBus::Stop() {
+  if (!this->thread.joinable()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+    this->Wake();
+  }
+  this->thread.join();
+}
+
+bool PeerBus::Send(const std::string& address, proto::Envelope envelope) {
+  envelope.set_fleet_key(this->options.fleet_key);
+  envelope.set_sender(this->options.id);
+  envelope.set_address(this->options.address);
+  envelope.set_start_nonce(this->nonce.load());
+  envelope.set_sequence(++this->sequence);
+  Pending item{address, envelope.SerializeAsString(), KindOf(envelope)};
+  if (item.bytes.size() > this->options.max_message_bytes) {
+    this->CountDrop(PeerDrop::kOversize);
+    return false;
+  }
+  const std::lock_guard lock(this->mutex);
+  if (this->stopping || this->pending.size() >= this->options.max_pending) {
+    this->CountDrop(PeerDrop::kQueueFull);
+    return false;
+  }
+  this->pending.push_back(std::move(item));
+  if (this->pending.size() == 1) {
+    this->Wake();
+  }
+  return true;
+}
+
+// The mutex orders the uses of the socket by different threads, as ZeroMQ
+// requires.
+void PeerBus::Wake() {
+  this->wake_sender.send(zmq::message_t(), zmq::send_flags::dontwait);
+}
+
+void PeerBus::CountDrop(PeerDrop drop) {
+  ++this->counts.drops.at(static_cast<std::size_t>(drop));
+}
+
+void PeerBus::Run() {
+  std::array<zmq::pollitem_t, 2> items = {
+      {{this->router.handle(), 0, ZMQ_POLLIN, 0},
+       {this->wake_receiver.handle(), 0, ZMQ_POLLIN, 0}}};
+  bool running = true;
+  while (running) {
+    zmq::poll(items.data(), items.size(), std::chrono::milliseconds(-1));
+    this->ReceiveAll();
+    zmq::message_t signal;
+    while (this->wake_receiver.recv(signal, zmq::recv_flags::dontwait)) {
+    }
+    {
+      const std::lock_guard lock(this->mutex);
+      running = !this->stopping;
+    }
+    this->SendPending();
+  }
+  this->peers.clear();
+  this->router.close();
+}
+
+void PeerBus::SendPending() {
+  std::deque<Pending> batch;
+  {
+    const std::lock_guard lock(this->mutex);
+    batch.swap(this->pending);
+  }
+  for (const Pending& item : batch) {
+    this->SendTo(item);
+  }
+  this->CloseIdle();
+}
+
+void PeerBus::SendTo(const Pending& item) {
+  try {
+    Peer& peer = this->Connect(item.address);
+    peer.last_used = std::chrono::steady_clock::now();
+    if (peer.socket.send(zmq::buffer(item.bytes), zmq::send_flags::dontwait)) {
+      ++this->counts.sent_messages.at(item.kind);
+      this->counts.sent_bytes.at(item.kind) += item.bytes.size();
+      return;
+    }
+    this->CountDrop(PeerDrop::kQueueFull);
+  } catch (const zmq::error_t&) {
+    // The address is not valid.
+    this->CountDrop(PeerDrop::kMalformed);
+  }
+}
+
+PeerBus::Peer& PeerBus::Connect(const std::string& address) {
+  const auto found = this->peers.find(address);
+  if (found != this->peers.end()) {
+    return found->second;
+  }
+  zmq::socket_t socket(this->context, zmq::socket_type::dealer);
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::sndhwm, this->options.max_queue);
+  socket.set(zmq::sockopt::tcp_maxrt, kMaxRetransmitMs);
+  socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+  socket.connect("tcp://" + address);
+  return this->peers.emplace(address, Peer{std::move(socket), {}})
+      .first->second;
+}
+
+// Gossip reaches every host of the fleet in time; without this each host would
+// keep a connection to each other host.
+void PeerBus::CloseIdle() {
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (now - this->last_sweep < this->options.idle_timeout / 4) {
+    return;
+  }
+  this->last_sweep = now;
+  std::erase_if(this->peers, [this, now](const auto& entry) {
+    return now - entry.second.last_used > this->options.idle_timeout;
+  });
+}
+
+void PeerBus::ReceiveAll() {
+  zmq::message_t frame;
+  for (int i = 0; i < kReceiveBatch; ++i) {
+    if (!this->router.recv(frame, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    // The first frame of a message is the connection's routing id; messages
+    // with other than one further frame are malformed.
+    int frames = 0;
+    zmq::message_t payload;
+    while (frame.more()) {
+      if (!this->router.recv(frame, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      ++frames;
+      if (frames == 1) {
+        payload.copy(frame);
+      }
+    }
+    if (frames == 1) {
+      this->Receive(payload);
+    } else {
+      this->CountDrop(PeerDrop::kMalformed);
+    }
+  }
+}
+
+bool PeerBus::KeyMatches(const std::string& key) const {
+  return key.size() == this->options.fleet_key.size() &&
+         CRYPTO_memcmp(key.data(), this->options.fleet_key.data(),
+                       key.size()) == 0;
+}
+
+void PeerBus::Receive(const zmq::message_t& frame) {
+  if (frame.size() > this->options.max_message_bytes) {
+    this->CountDrop(PeerDrop::kOversize);
+    return;
+  }
+  proto::Envelope envelope;
+  if (!envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size())) ||
+      envelope.body_case() == proto::Envelope::BODY_NOT_SET) {
+    this->CountDrop(PeerDrop::kMalformed);
+    return;
+  }
+  if (!this->KeyMatches(envelope.fleet_key())) {
+    this->CountDrop(PeerDrop::kWrongKey);
+    return;
+  }
+  std::uint64_t& newest = this->newest_nonces[envelope.sender()];
+  if (envelope.start_nonce() < newest) {
+    this->CountDrop(PeerDrop::kOldNonce);
+    return;
+  }
+  newest = envelope.start_nonce();
+  ++this->counts.received_messages.at(KindOf(envelope));
+  this->counts.received_bytes.at(KindOf(envelope)) += frame.size();
+  envelope.clear_fleet_key();
+  this->receiver(std::move(envelope));
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/src/net/peer_bus_counters.cc
@@ -0,0 +1,24 @@
+#include "src/net/peer_bus_counters.h"
+
+namespace auburnyard {
+
+namespace {
+
+constexpr std::array<std::string_view, kPeerDropCount> kDropNames = {
+    "queue_full", "wrong_key", "old_nonce", "oversize", "malformed"};
+// In the order of the fields of the envelope.
+constexpr std::array<std::string_view, kPeerMessageKinds> kKindNames = {
+    "heartbeat", "heartbeat_ack", "gossip", "document", "enqueue",
+    "started",   "sub_result",    "cancel", "leave"};
+
+}  // namespace
+
+std::string_view ToString(PeerDrop drop) {
+  return kDropNames.at(static_cast<std::size_t>(drop));
+}
+
+std::string_view PeerMessageName(std::size_t kind) {
+  return kKindNames.at(kind);
+}
+
+}  // namespace auburnyard
