--- /dev/null
+++ b/src/core/replica_choice.cc
@@ -0,0 +1,120 @@
+#include "auburnyard/replica_choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace auburnyard {
+
+namespace {
+
+// A target that failed within this time is used only if no other is left.
+constexpr Duration kFailurePenaltyTime = std::chrono::seconds(2);
+// Expected service time of a target that was not observed yet.
+constexpr Duration kUnknownDelay = std::chrono::milliseconds(5);
+
+// Shuffled first, so that equal replicas share the load.
+std::vector<std::string> UsableShuffled(const Shard& shard,
+                                        const TargetKnowledge& knowledge,
+                                        RandomSource& random) {
+  std::vector<std::string> order;
+  for (const std::string& target : shard.targets) {
+    if (knowledge.Get(target).usable) {
+      order.push_back(target);
+    }
+  }
+  random.Shuffle(order);
+  return order;
+}
+
+void PutTriedLast(std::vector<std::string>& order,
+                  const std::vector<std::string>& tried) {
+  std::stable_partition(
+      order.begin(), order.end(), [&tried](const std::string& target) {
+        return std::find(tried.begin(), tried.end(), target) == tried.end();
+      });
+}
+
+std::uint32_t KnownLoad(const TargetView& view) {
+  return view.outstanding + view.reported_load;
+}
+
+// Halves an observation every second. Without this, a slow target would get no
+// work, and so no observation of its recovery.
+Duration ExpectedDelay(const TargetView& view, TimePoint now) {
+  if (!view.delay) {
+    return kUnknownDelay;
+  }
+  // Another thread can have observed the target after `now` was read.
+  const std::chrono::duration<double> age =
+      std::max(Duration::zero(), now - view.observed);
+  return std::chrono::duration_cast<Duration>(*view.delay *
+                                              std::exp2(-age.count()));
+}
+
+// Recently failed targets sort after all others, then by expected time.
+std::pair<bool, Duration> Cost(const TargetView& view,
+                               const TargetKnowledge& knowledge,
+                               TimePoint now) {
+  const bool failed = view.failed && now < *view.failed + kFailurePenaltyTime;
+  // The queue reported by the owner includes own requests that wait there.
+  const std::uint32_t depth = std::max(view.outstanding, view.queue_depth);
+  const std::uint32_t rounds = depth / std::max(1U, view.slots);
+  return {failed, knowledge.DomainDelay(view.domain) +
+                      ExpectedDelay(view, now) * (1 + rounds)};
+}
+
+}  // namespace
+
+ReplicaOrder MakeRandomOrder(std::shared_ptr<const TargetKnowledge> knowledge,
+                             std::shared_ptr<RandomSource> random) {
+  return [knowledge = std::move(knowledge), random = std::move(random)](
+             const Shard& shard, const std::vector<std::string>& tried,
+             TimePoint /*now*/) {
+    std::vector<std::string> order = UsableShuffled(shard, *knowledge, *random);
+    PutTriedLast(order, tried);
+    return order;
+  };
+}
+
+ReplicaOrder MakeTwoChoiceOrder(
+    std::shared_ptr<const TargetKnowledge> knowledge,
+    std::shared_ptr<RandomSource> random) {
+  return [knowledge = std::move(knowledge), random = std::move(random)](
+             const Shard& shard, const std::vector<std::string>& tried,
+             TimePoint /*now*/) {
+    std::vector<std::string> order = UsableShuffled(shard, *knowledge, *random);
+    PutTriedLast(order, tried);
+    const bool both_untried =
+        order.size() >= 2 &&
+        std::find(tried.begin(), tried.end(), order[1]) == tried.end();
+    if (both_untried && KnownLoad(knowledge->Get(order[1])) <
+                            KnownLoad(knowledge->Get(order[0]))) {
+      std::swap(order[0], order[1]);
+    }
+    return order;
+  };
+}
+
+ReplicaOrder MakeOwnerOrder(std::shared_ptr<const TargetKnowledge> knowledge,
+                            std::shared_ptr<RandomSource> random) {
+  return [knowledge = std::move(knowledge), random = std::move(random)](
+             const Shard& shard, const std::vector<std::string>& tried,
+             TimePoint now) {
+    std::vector<std::string> order = UsableShuffled(shard, *knowledge, *random);
+    std::map<std::string, std::pair<bool, Duration>> costs;
+    for (const std::string& target : order) {
+      costs[target] = Cost(knowledge->Get(target), *knowledge, now);
+    }
+    std::stable_sort(
+        order.begin(), order.end(),
+        [&costs](const std::string& left, const std::string& right) {
+          return costs[left] < costs[right];
+        });
+    PutTriedLast(order, tried);
+    return order;
+  };
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/src/core/target_knowledge.cc
@@ -0,0 +1,103 @@
+#include "auburnyard/target_knowledge.h"
+
+namespace auburnyard {
+
+namespace {
+
+// Weight of a new observation in the smoothed delay.
+constexpr int kSmoothing = 8;
+// After this time without an observation, a new one replaces the old delay, so
+// that a target that has recovered is not avoided any longer.
+constexpr Duration kDelayMemory = std::chrono::seconds(1);
+
+void EndAttempt(TargetView& view) {
+  view.outstanding -= view.outstanding > 0 ? 1 : 0;
+}
+
+}  // namespace
+
+template <typename Change>
+void TargetKnowledge::Update(std::string_view target, Change change) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->targets.find(target);
+  if (found != this->targets.end()) {
+    change(found->second);
+  }
+}
+
+void TargetKnowledge::SetTarget(std::string_view target,
+                                std::string_view domain,
+                                std::uint32_t slots,
+                                bool usable) {
+  const std::lock_guard lock(this->mutex);
+  TargetView& view = this->targets[std::string(target)];
+  view.domain = domain;
+  view.slots = slots;
+  view.usable = usable;
+}
+
+void TargetKnowledge::Remove(std::string_view target) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->targets.find(target);
+  if (found != this->targets.end()) {
+    this->targets.erase(found);
+  }
+}
+
+void TargetKnowledge::SetDomainDelay(std::string_view domain,
+                                     Duration round_trip) {
+  const std::lock_guard lock(this->mutex);
+  this->domain_delays[std::string(domain)] = round_trip;
+}
+
+void TargetKnowledge::OnStart(std::string_view target) {
+  this->Update(target, [](TargetView& view) { ++view.outstanding; });
+}
+
+void TargetKnowledge::OnResult(std::string_view target,
+                               Duration delay,
+                               TimePoint now) {
+  this->Update(target, [delay, now](TargetView& view) {
+    EndAttempt(view);
+    view.failed.reset();
+    const bool recent = view.delay && now - view.observed <= kDelayMemory;
+    const Duration before = recent ? *view.delay : delay;
+    view.delay = before + (delay - before) / kSmoothing;
+    view.observed = now;
+  });
+}
+
+void TargetKnowledge::OnEnd(std::string_view target) {
+  this->Update(target, EndAttempt);
+}
+
+void TargetKnowledge::OnFailure(std::string_view target, TimePoint now) {
+  this->Update(target, [now](TargetView& view) {
+    EndAttempt(view);
+    view.failed = now;
+  });
+}
+
+void TargetKnowledge::OnLoadReport(std::string_view target,
+                                   std::uint32_t load) {
+  this->Update(target, [load](TargetView& view) { view.reported_load = load; });
+}
+
+void TargetKnowledge::OnQueueReport(std::string_view target,
+                                    std::uint32_t depth) {
+  this->Update(target, [depth](TargetView& view) { view.queue_depth = depth; });
+}
+
+TargetView TargetKnowledge::Get(std::string_view target) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->targets.find(target);
+  return found == this->targets.end() ? TargetView{} : found->second;
+}
+
+Duration TargetKnowledge::DomainDelay(std::string_view domain) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->domain_delays.find(domain);
+  return found == this->domain_delays.end() ? Duration::zero() : found->second;
+}
+
+}  // namespace auburnyard
