--- /dev/null
+++ b/src/core/host_record.cc
@@ -0,0 +1,14 @@
+#include "auburnyard/host_record.h"
+
+#include <tuple>
+
+namespace auburnyard {
+
+// With equal revisions the worse state wins, so that two hosts that changed the
+// same record independently end with the same record.
+bool IsNewer(const HostRecord& left, const HostRecord& right) {
+  return std::tie(left.nonce, left.revision, left.state, left.serving) >
+         std::tie(right.nonce, right.revision, right.state, right.serving);
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/src/core/membership_view.cc
@@ -0,0 +1,265 @@
+#include <algorithm>
+
+#include "auburnyard/membership.h"
+
+namespace auburnyard {
+
+namespace {
+
+// Earlier member lists that can still appear in positions of peers.
+constexpr std::size_t kPastViews = 8;
+constexpr std::chrono::seconds kUnreachableFor{5};
+
+}  // namespace
+
+bool Membership::InGroup(const HostRecord& record) const {
+  return record.domain == this->self_record.domain &&
+         record.group == this->self_record.group;
+}
+
+bool Membership::Silent(const Member& member, TimePoint now) const {
+  return !member.heard || *member.heard + this->times.suspect_after <= now;
+}
+
+// Members of the own group count as live only if this host hears them itself.
+// Other hosts are judged by their own group, whose finding arrives by gossip.
+HostState Membership::StateOf(const Member& member, TimePoint now) const {
+  if (member.record.state == HostState::kLeft ||
+      !this->InGroup(member.record)) {
+    return member.record.state;
+  }
+  return this->Silent(member, now) ? HostState::kSuspected : HostState::kLive;
+}
+
+bool Membership::Paused(TimePoint now) const {
+  return now - this->last_tick > this->times.pause_limit;
+}
+
+bool Membership::Settled(TimePoint now) const {
+  return now - this->started >= this->times.settle_time;
+}
+
+const GroupView* Membership::FindView(std::uint64_t hash) const {
+  if (this->bound.front().view.hash() == hash) {
+    return &this->bound.front().view;
+  }
+  const auto found = std::find_if(
+      this->past_views.begin(), this->past_views.end(),
+      [hash](const GroupView& view) { return view.hash() == hash; });
+  return found == this->past_views.end() ? nullptr : &*found;
+}
+
+void Membership::ReportUnreachable(std::string_view id, TimePoint now) {
+  const auto found = this->members.find(id);
+  if (found != this->members.end() && !this->InGroup(found->second.record)) {
+    found->second.unreachable_until = now + kUnreachableFor;
+    ++this->change_count;
+  }
+}
+
+void Membership::Refresh(TimePoint now) {
+  if (this->self_omitted) {
+    // Silent members may have removed this host, or are about to.
+    this->ResetAdmission(now, /*only_silent=*/true);
+  }
+  this->UpdateStates(now);
+  this->UpdatePosition(now);
+  this->UpdateAdmission(now);
+}
+
+// Records change only when the finding of this host changes. Two hosts with
+// different findings on a third would otherwise overwrite each other's record
+// for ever.
+void Membership::UpdateStates(TimePoint now) {
+  for (auto& [id, member] : this->members) {
+    if (!this->InGroup(member.record) ||
+        member.record.state == HostState::kLeft) {
+      continue;
+    }
+    const HostState state = this->StateOf(member, now);
+    const bool waiting =
+        !member.heard && now - member.added < this->times.suspect_after;
+    if (member.observed == state || waiting) {
+      continue;
+    }
+    member.observed = state;
+    if (member.record.state != state) {
+      member.record.state = state;
+      ++member.record.revision;
+      this->MarkChanged(member);
+    }
+  }
+}
+
+Membership::Position Membership::CurrentPosition(TimePoint now) const {
+  std::vector<GroupView::Member> list = {
+      {this->self_record.id, this->self_record.nonce}};
+  for (const Member* member : this->group_members) {
+    if (member->record.state != HostState::kLeft) {
+      list.push_back({member->record.id, member->record.nonce});
+    }
+  }
+  Position position{GroupView(std::move(list)), 0, std::nullopt};
+  const std::vector<GroupView::Member>& sorted = position.view.members();
+  for (std::size_t i = 0; i < sorted.size() && i < GroupView::kMaxMembers;
+       ++i) {
+    const bool is_self = sorted.at(i).id == this->self_record.id;
+    const Member* member =
+        is_self ? nullptr : &this->members.find(sorted.at(i).id)->second;
+    const bool live = is_self ? this->is_admitted
+                              : member->record.serving &&
+                                    !this->Silent(*member, now);
+    position.live |= live ? std::uint64_t{1} << i : 0;
+  }
+  return position;
+}
+
+void Membership::UpdatePosition(TimePoint now) {
+  this->group_members.clear();
+  for (const auto& [id, member] : this->members) {
+    if (this->InGroup(member.record)) {
+      this->group_members.push_back(&member);
+    }
+  }
+  std::erase_if(this->bound, [now](const Position& position) {
+    return position.until && *position.until <= now;
+  });
+  Position position = this->CurrentPosition(now);
+  Position& current = this->bound.front();
+  const bool same_view = position.view.hash() == current.view.hash();
+  if (same_view && position.live == current.live) {
+    return;
+  }
+  if (!same_view) {
+    this->past_views.push_front(current.view);
+    if (this->past_views.size() > kPastViews) {
+      this->past_views.pop_back();
+    }
+  }
+  current.until = now + this->times.promise_hold;
+  this->bound.push_front(std::move(position));
+  ++this->change_count;
+}
+
+void Membership::UpdateAdmission(TimePoint now) {
+  if (this->is_admitted || this->has_left || !this->Settled(now) ||
+      !this->listed_contacts.empty()) {
+    return;
+  }
+  bool known = this->list_seen || !this->expects_peers;
+  for (const Member* member : this->group_members) {
+    if (member->record.state != HostState::kLeft && !member->established) {
+      return;
+    }
+    known = known || member->established;
+  }
+  known = known || !this->members.empty();
+  if (known) {
+    this->is_admitted = true;
+    this->self_record.serving = true;
+    this->ChangeSelf();
+    this->UpdatePosition(now);
+  }
+}
+
+void Membership::ResetAdmission(TimePoint now, bool only_silent) {
+  bool any = !only_silent;
+  for (auto& [id, member] : this->members) {
+    if (this->InGroup(member.record) && member.established &&
+        (!only_silent || this->Silent(member, now))) {
+      member.established = false;
+      any = true;
+    }
+  }
+  if (!any) {
+    return;
+  }
+  this->admission_reset = now;
+  if (this->is_admitted) {
+    this->is_admitted = false;
+    this->self_record.serving = false;
+    this->ChangeSelf();
+    this->UpdatePosition(now);
+  }
+}
+
+bool Membership::ReportedLive(std::string_view id, TimePoint now) const {
+  const Member& subject = this->members.find(id)->second;
+  if (subject.reported_live &&
+      *subject.reported_live + this->times.suspect_after > now) {
+    return true;
+  }
+  const GroupView& view = this->bound.front().view;
+  const std::optional<std::size_t> index = view.IndexOf(id);
+  if (!index || *index >= GroupView::kMaxMembers) {
+    return false;
+  }
+  return std::any_of(
+      this->group_members.begin(), this->group_members.end(),
+      [this, &view, index, now](const Member* member) {
+        return !this->Silent(*member, now) && !member->positions.empty() &&
+               member->positions.front().view == view.hash() &&
+               ((member->positions.front().live >> *index) & 1U) != 0;
+      });
+}
+
+void Membership::RemoveOmitted(TimePoint now) {
+  for (auto& [id, member] : this->members) {
+    if (member.record.state == HostState::kLeft || !member.omitted_since ||
+        *member.omitted_since + this->removal_delay > now ||
+        !this->Silent(member, now) || this->ReportedLive(id, now)) {
+      continue;
+    }
+    this->MarkLeft(member, Departure::kHostList);
+  }
+}
+
+void Membership::OnHostList(std::span<const ListedHost> hosts,
+                            Duration interval,
+                            TimePoint now) {
+  this->list_seen = true;
+  // A listed host must read at least once that it is omitted before others
+  // remove it; 2.5 intervals leave room for one failed read.
+  this->removal_delay = std::max(this->times.gone_delay, interval * 5 / 2);
+  std::set<std::string_view> names;
+  for (const ListedHost& host : hosts) {
+    names.insert(host.id);
+  }
+  for (auto& [id, member] : this->members) {
+    if (names.contains(id)) {
+      member.listed = true;
+      member.omitted_since.reset();
+    } else if (member.listed && !member.omitted_since) {
+      member.omitted_since = now;
+    }
+  }
+  if (names.contains(this->self_record.id)) {
+    this->self_listed = true;
+    this->self_omitted = false;
+  } else {
+    this->self_omitted = this->self_listed;
+  }
+  this->UpdateContacts(hosts);
+  this->RemoveOmitted(now);
+  this->Refresh(now);
+}
+
+void Membership::UpdateContacts(std::span<const ListedHost> hosts) {
+  constexpr std::size_t kForeignContacts = 3;
+  this->listed_contacts.clear();
+  for (const ListedHost& host : hosts) {
+    const auto known = this->members.find(host.id);
+    if (host.id == this->self_record.id ||
+        (known != this->members.end() &&
+         known->second.record.address == host.address)) {
+      continue;
+    }
+    if (host.domain == this->self_record.domain) {
+      this->listed_contacts.insert(host.address);
+    } else if (this->contacts.size() < kForeignContacts) {
+      this->AddContact(host.address);
+    }
+  }
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/test/membership_test.cc
@@ -0,0 +1,141 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "test/membership_fleet.h"
+
+namespace auburnyard {
+
+namespace {
+
+std::string Describe(const std::vector<FleetEvent>& events) {
+  static constexpr std::array<const char*, 11> kNames = {
+      "crash", "restart", "leave",  "pause",       "resume", "cut",
+      "heal",  "delist",  "list_outage", "lossy", "wait"};
+  std::string text;
+  for (const FleetEvent& event : events) {
+    text += std::string(kNames.at(static_cast<std::size_t>(event.kind))) + " " +
+            std::to_string(event.a) + " " + std::to_string(event.b) + " " +
+            std::to_string(event.steps) + "; ";
+  }
+  return text;
+}
+
+constexpr std::uint64_t kSeed = 20'261;
+constexpr int kHistories = 150;
+constexpr int kSettleSteps = 400;
+
+rc::Gen<std::vector<FleetEvent>> Histories() {
+  const auto event = rc::gen::build<FleetEvent>(
+      rc::gen::set(&FleetEvent::kind,
+                   rc::gen::map(rc::gen::inRange(0, 11),
+                                [](int kind) {
+                                  return static_cast<FleetEvent::Kind>(kind);
+                                })),
+      rc::gen::set(&FleetEvent::a, rc::gen::inRange<std::size_t>(0, 8)),
+      rc::gen::set(&FleetEvent::b, rc::gen::inRange<std::size_t>(0, 8)),
+      rc::gen::set(&FleetEvent::steps, rc::gen::inRange(0, 160)));
+  return rc::gen::container<std::vector<FleetEvent>>(30, event);
+}
+
+rc::detail::TestResult CheckHistories(
+    const std::function<void(MembershipFleet&, const std::vector<FleetEvent>&)>&
+        property,
+    MembershipTiming timing) {
+  rc::detail::TestParams params;
+  params.seed = kSeed;
+  params.maxSuccess = kHistories;
+  params.disableShrinking = getenv("SHRINK") == nullptr;
+  return rc::detail::checkTestable(
+      [&property, timing] {
+        const auto size = *rc::gen::inRange<std::size_t>(2, 6);
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        const std::vector<FleetEvent> events = *Histories();
+        MembershipFleet fleet(size, seed, timing);
+        RC_LOG() << Describe(events);
+        fleet.Run(80);
+        property(fleet, events);
+      },
+      rc::detail::TestMetadata{}, params);
+}
+
+void SumOfSharesHolds(MembershipFleet& fleet,
+                      const std::vector<FleetEvent>& events) {
+  for (const FleetEvent& event : events) {
+    fleet.Apply(event);
+    if (fleet.limit_exceeded) {
+      RC_FAIL(fleet.trace);
+    }
+  }
+}
+
+void WorkResumes(MembershipFleet& fleet,
+                 const std::vector<FleetEvent>& events) {
+  SumOfSharesHolds(fleet, events);
+  fleet.EndFaults();
+  fleet.Run(kSettleSteps);
+  for (int target = 0; target < MembershipFleet::kTargets; ++target) {
+    const std::string owner = fleet.OwnerOf(0, target);
+    RC_ASSERT(!owner.empty());
+    for (std::size_t h = 0; h < fleet.size(); ++h) {
+      RC_ASSERT(fleet.OwnerOf(h, target) == owner);
+      const SlotShare share = fleet.ShareOf(h, target);
+      RC_ASSERT(share.slots == (MembershipFleet::IdOf(h) == owner
+                                    ? MembershipFleet::Limit(target)
+                                    : 0U));
+    }
+  }
+}
+
+std::string Describe(const rc::detail::TestResult& result) {
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  return text.str();
+}
+
+bool Succeeds(const rc::detail::TestResult& result) {
+  return result.template is<rc::detail::SuccessResult>();
+}
+
+bool Fails(const rc::detail::TestResult& result) {
+  return result.template is<rc::detail::FailureResult>();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(membership_test)
+
+// Guards against two hosts that use more of a target than its limit together,
+// and against a group that never agrees or never uses the whole limit again
+// after faults.
+BOOST_AUTO_TEST_CASE(SumOfSharesStaysWithinTheLimitAndWorkResumes) {
+  const auto result = CheckHistories(WorkResumes, MembershipTiming{});
+  BOOST_TEST(Succeeds(result), Describe(result));
+}
+
+// Shows that the property detects an owner that never lets its grants expire,
+// for example after a pause.
+BOOST_AUTO_TEST_CASE(PropertyDetectsGrantsWithoutExpiry) {
+  MembershipTiming broken;
+  broken.grant_ttl = std::chrono::hours(1);
+  BOOST_TEST(Fails(CheckHistories(SumOfSharesHolds, broken)));
+}
+
+// Shows that the property detects a host that forgets its promise when its view
+// changes.
+BOOST_AUTO_TEST_CASE(PropertyDetectsPromisesThatEndWithTheView) {
+  MembershipTiming broken;
+  broken.promise_hold = Duration::zero();
+  BOOST_TEST(Fails(CheckHistories(SumOfSharesHolds, broken)));
+}
+
+// Shows that the property detects a paused host that does not notice that the
+// host list dropped it.
+BOOST_AUTO_TEST_CASE(PropertyDetectsAnUnnoticedPause) {
+  MembershipTiming broken;
+  broken.pause_limit = std::chrono::hours(1);
+  BOOST_TEST(Fails(CheckHistories(SumOfSharesHolds, broken)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
