--- a/include/auburnyard/target_gate.h
+++ b/include/auburnyard/target_gate.h
@@ -88,7 +88,8 @@
                                   const TargetReport& report,
                                   TimePoint now);
   /// The exchange was ended by this side, for example after an abort, and its
-  /// connection is closed. Frees the slot; says nothing about the target.
+  /// connection is closed, or it was withdrawn before a byte was sent. Frees
+  /// the slot; says nothing about the target.
   std::vector<GateAction> OnExchangeEnded(const AttemptId& id, TimePoint now);
   /// The target broke the exchange, or an idle connection (empty identifier).
   /// The target's state is not known any more, so it counts as cold.
--- a/src/core/query_machine.cc
+++ b/src/core/query_machine.cc
@@ -71,6 +71,12 @@
                                     this->map->snapshot, reason});
 }
 
+bool QueryMachine::MayDispatch(const AttemptId& id) {
+  const Attempt* attempt = this->attempts.Find(id);
+  return !this->is_finished && !this->closing_until && attempt != nullptr &&
+         this->Live(*attempt);
+}
+
 std::vector<QueryAction> QueryMachine::OnDispatched(const AttemptId& id,
                                                     TimePoint now) {
   Actions actions;
