--- a/include/auburnyard/error.h
+++ b/include/auburnyard/error.h
@@ -38,6 +38,7 @@
   kProtocol,
   kInternal,
   kAnswerTooLarge,
+  kCheckFailed,
 };
 
 /// Whether the work of a refused request was executed.
--- a/src/cli/replay_command.cc
+++ b/src/cli/replay_command.cc
@@ -1,49 +1,17 @@
-#include "src/cli/replay_command.h"
-
 #include <fstream>
-#include <iostream>
+#include <ostream>
 #include <sstream>
 
 #include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
 
-#include "auburnyard/error.h"
 #include "auburnyard/replay.h"
+#include "src/cli/print.h"
+#include "src/cli/subcommands.h"
 
-namespace auburnyard {
+namespace auburnyard::cli {
 
 namespace {
 
-constexpr std::string_view kUsage =
-    "usage: auburnyard replay TRACE [--json] [--record]";
-constexpr int kExitDifferent = 1;
-
-struct ReplayOptions {
-  std::string path;
-  bool json = false;
-  bool record = false;
-};
-
-ReplayOptions ParseOptions(std::span<const std::string> arguments) {
-  ReplayOptions options;
-  for (const std::string& argument : arguments) {
-    if (argument == "--json") {
-      options.json = true;
-    } else if (argument == "--record") {
-      options.record = true;
-    } else if (options.path.empty() && !argument.starts_with("--")) {
-      options.path = argument;
-    } else {
-      throw Error(ErrorKind::kBadRequest, "unexpected argument \"" + argument +
-                                              "\"; " + std::string(kUsage));
-    }
-  }
-  if (options.path.empty()) {
-    throw Error(ErrorKind::kBadRequest, std::string(kUsage));
-  }
-  return options;
-}
-
 Trace LoadTrace(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
@@ -58,7 +26,7 @@
   }
 }
 
-std::string ToJson(const ReplayReport& report) {
+boost::json::object ToJson(const ReplayReport& report) {
   boost::json::array differences;
   for (const ReplayDifference& difference : report.differences) {
     differences.push_back(
@@ -67,24 +35,39 @@
          {"record",
           boost::json::parse(SerializeDecisionRecord(difference.record))}});
   }
-  return boost::json::serialize(
-      boost::json::object{{"inputs", report.inputs},
-                          {"outcomes", report.outcomes},
-                          {"differences", std::move(differences)}});
+  return {{"inputs", report.inputs},
+          {"outcomes", report.outcomes},
+          {"differences", std::move(differences)}};
+}
+
+void Run(const Options& options, std::ostream& out) {
+  const ReplayReport report =
+      Replay(LoadTrace(options.Arguments(1, 1).front()));
+  if (options.Has("record")) {
+    out << SerializeTrace(report.actual);
+    return;
+  }
+  if (options.Has("json")) {
+    PrintJson(ToJson(report), out);
+  } else {
+    out << FormatReplayReport(report);
+  }
+  if (!report.differences.empty()) {
+    throw Error(ErrorKind::kCheckFailed,
+                std::to_string(report.differences.size()) +
+                    " outcomes differ from the trace");
+  }
 }
 
 }  // namespace
 
-int RunReplay(std::span<const std::string> arguments) {
-  const ReplayOptions options = ParseOptions(arguments);
-  const ReplayReport report = Replay(LoadTrace(options.path));
-  if (options.record) {
-    std::cout << SerializeTrace(report.actual);
-    return 0;
-  }
-  std::cout << (options.json ? ToJson(report) + "\n"
-                             : FormatReplayReport(report));
-  return report.differences.empty() ? 0 : kExitDifferent;
+Command ReplayCommand() {
+  return {.name = "replay",
+          .arguments = "TRACE",
+          .summary = "Replays a trace and compares the stated outcomes.",
+          .options = {{"record", nullptr,
+                       "print the trace with the core's outcomes"}},
+          .run = Run};
 }
 
-}  // namespace auburnyard
+}  // namespace auburnyard::cli
--- a/src/cli/subcommands.h
+++ b/src/cli/subcommands.h
@@ -10,6 +10,8 @@
 Command PlanCommand();
 Command ConfirmCommand();
 Command StatusCommand();
+Command ExplainCommand();
+Command ReplayCommand();
 Command CheckSettingsCommand();
 
 }  // namespace auburnyard::cli
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -7,13 +7,14 @@
 
 namespace {
 
+constexpr int kExitDifferent = 1;
 constexpr int kExitUsage = 2;
 constexpr int kExitRefused = 3;
 constexpr int kExitUnavailable = 4;
 constexpr int kExitConflict = 5;
 constexpr int kExitInternal = 70;
 
-constexpr std::array<ErrorDescription, 26> kErrors = {{
+constexpr std::array<ErrorDescription, 27> kErrors = {{
     {ErrorKind::kBadRequest, "bad_request", 400, "The request is malformed",
      kExitUsage},
     {ErrorKind::kNotFound, "not_found", 404, "The resource does not exist",
@@ -66,6 +67,8 @@
      kExitInternal},
     {ErrorKind::kAnswerTooLarge, "answer_too_large", 422,
      "The merged answer exceeds its limit", kExitRefused},
+    {ErrorKind::kCheckFailed, "check_failed", 500,
+     "The check found differences", kExitDifferent},
 }};
 
 constexpr std::array<std::string_view, 3> kRunStates = {"not_run", "unknown",
--- a/src/daemon/entry_host.h
+++ b/src/daemon/entry_host.h
@@ -11,36 +11,65 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "auburnyard/clock.h"
-#include "src/daemon/configuration_poller.h"
-#include "src/daemon/front.h"
+#include "auburnyard/configuration_store.h"
+#include "auburnyard/knowledge.h"
+#include "src/daemon/claim_service.h"
+#include "src/daemon/configuration_editor.h"
+#include "src/daemon/configuration_gossip.h"
+#include "src/daemon/configuration_watcher.h"
+#include "src/daemon/decision_recorder.h"
+#include "src/daemon/dispatcher.h"
 #include "src/daemon/gate_table.h"
-#include "src/daemon/router.h"
+#include "src/daemon/host_routes.h"
+#include "src/daemon/limit_policy.h"
+#include "src/daemon/membership_service.h"
+#include "src/daemon/operator_api.h"
+#include "src/daemon/periodic_task.h"
+#include "src/daemon/query_planner.h"
+#include "src/daemon/query_service.h"
 #include "src/daemon/settings.h"
 #include "src/net/http_server.h"
+#include "src/net/platform_client.h"
 
 namespace auburnyard {
 
 /// One running entry host: all parts of the daemon and their wiring.
 class EntryHost {
  public:
+  /// Throws Error if the peer address cannot be bound.
   explicit EntryHost(Settings settings);
 
-  /// Serves until a graceful shutdown has finished. Throws Error if an address
-  /// cannot be bound.
+  /// Serves until a graceful shutdown has finished. Throws Error if the address
+  /// for callers cannot be bound.
   void Run();
 
  private:
-  void AddRoutes();
-  void HandleQuery(const HttpRequest& request, const HttpResponder& respond);
-  QueryHooks MakeQueryHooks();
-  GateLimits LimitsOf(const TargetConfig& target) const;
-  std::vector<std::string> OrderReplicas(
-      const Shard& shard,
-      const std::vector<std::string>& tried) const;
+  GateHooks MakeGateHooks();
+  DispatcherHooks MakeDispatcherHooks();
+  MembershipHooks MakeMembershipHooks();
+  WatcherHooks MakeConfigurationHooks();
+  ConfigurationGossipHooks MakeGossipHooks();
+  OperatorApiParts MakeOperatorParts();
+  HostRoutesParts MakeRoutesParts();
+  void StartParts();
+  void StartTasks();
+  void AddTask(Duration interval, std::function<void()> task);
+  void OnMessage(const proto::Envelope& envelope);
+  void OnConfiguration();
+  void OnMembershipChange();
+  void OnGossipRound();
+  bool MaySend(const TargetConfig& target) const;
+  std::optional<HostRecord> OwnerOf(const std::string& target);
+  std::vector<InFlightWork> InFlight() const;
+  std::vector<HostStatus> OtherHosts();
+  void AskAllHosts();
   void WaitForSignal();
   void BeginShutdown();
+  void StopAccepting();
   void FinishWhenIdle();
-  bool Ready() const;
+  bool Idle();
+  bool Ready();
+  void StopParts();
 
   Settings settings;
   Clock clock;
@@ -48,13 +77,27 @@
   boost::asio::signal_set signals;
   boost::asio::steady_timer shutdown_timer;
   TimePoint shutdown_deadline;
-  std::shared_ptr<ConfigurationPoller> configuration;
+  std::atomic<bool> draining{false};
+  std::uint64_t start_nonce;
+  Metrics metrics;
+  DecisionRecorder recorder;
+  ConfigurationStore store;
+  Knowledge knowledge;
+  std::shared_ptr<PlatformClient> platform;
+  std::shared_ptr<MembershipService> membership;
+  LimitPolicy limits;
   GateTable gates;
-  Front front;
-  Router router;
+  QueryPlanner planner;
+  Dispatcher dispatcher;
+  std::shared_ptr<ClaimService> claims;
+  QueryService queries;
+  std::shared_ptr<ConfigurationWatcher> watcher;
+  ConfigurationGossip gossip;
+  ConfigurationEditor editor;
+  std::shared_ptr<OperatorApi> operator_api;
+  HostRoutes routes;
   std::shared_ptr<HttpServer> server;
-  std::shared_ptr<PeriodicTask> gate_timer;
-  std::atomic<bool> draining{false};
+  std::vector<std::shared_ptr<PeriodicTask>> tasks;
 };
 
 }  // namespace auburnyard
--- /dev/null
+++ b/src/daemon/gate_hooks.h
@@ -0,0 +1,21 @@
+#ifndef AUBURNYARD_SRC_DAEMON_GATE_HOOKS_H_
+#define AUBURNYARD_SRC_DAEMON_GATE_HOOKS_H_
+
+#include <functional>
+
+#include "auburnyard/target_gate.h"
+
+namespace auburnyard {
+
+/// What the gates need from the rest of the daemon. Called with no lock held.
+struct GateHooks {
+  /// Part of a target's limits that this host may use now.
+  std::function<GateLimits(const TargetConfig&)> limits;
+  /// Whether this host may send new work to the target, given the age of its
+  /// knowledge.
+  std::function<bool(const TargetConfig&)> may_send;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_DAEMON_GATE_HOOKS_H_
--- a/src/daemon/gate_runner.cc
+++ b/src/daemon/gate_runner.cc
@@ -4,49 +4,81 @@
 
 #include <boost/asio/post.hpp>
 
+#include "auburnyard/decision_records.h"
+
 namespace auburnyard {
 
 GateRunner::GateRunner(boost::asio::io_context& io_context,
                        const Clock& runtime_clock,
                        const TargetConfig& target_config,
-                       GateLimits limits)
+                       const GateHooks& gate_hooks,
+                       DecisionRecorder& decision_recorder)
     : context(io_context),
       clock(runtime_clock),
+      hooks(gate_hooks),
+      recorder(decision_recorder),
       target(target_config),
       client(std::make_shared<TargetClient>(io_context,
                                             target_config,
                                             runtime_clock)),
-      gate(target_config.id, limits) {}
+      gate(target_config.id, {.slots = 0, .cold_limit = 0}) {}
 
 void GateRunner::Enqueue(const SubRequest& request,
                          SubRequestObserver observer) {
+  const GateLimits limits = this->hooks.limits(this->config());
   std::vector<GateAction> actions;
   {
     const std::lock_guard lock(this->mutex);
+    const TimePoint now = this->clock.Now();
+    actions = this->gate.SetLimits(limits, now);
+    this->recorder.Record(
+        MakeEnqueuedRecord(this->gate, request.id, this->recorder.Time()));
     this->entries.emplace(request.id, Entry{request, std::move(observer)});
-    const GateRequest waiting{request.id, request.priority, request.deadline,
-                              request.idempotent};
-    actions = this->gate.Enqueue(waiting, this->clock.Now());
+    const std::vector<GateAction> more =
+        this->gate.Enqueue({.id = request.id,
+                            .priority = request.priority,
+                            .deadline = request.deadline,
+                            .idempotent = request.idempotent,
+                            .bytes = request.query.size()},
+                           now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    this->Record(actions);
   }
   this->Perform(actions);
 }
 
+void GateRunner::Record(const std::vector<GateAction>& actions) {
+  for (const GateAction& action : actions) {
+    this->recorder.Record(
+        MakeRecord(this->gate, action, this->recorder.Time()));
+  }
+}
+
 void GateRunner::Cancel(const AttemptId& id, Reason reason) {
   std::vector<GateAction> actions;
   {
     const std::lock_guard lock(this->mutex);
     actions = this->gate.Cancel(id, reason, this->clock.Now());
+    this->Record(actions);
   }
   this->Perform(actions);
 }
 
-void GateRunner::Configure(const TargetConfig& target_config,
-                           GateLimits limits) {
-  std::vector<GateAction> actions;
+void GateRunner::Configure(const TargetConfig& target_config) {
   {
     const std::lock_guard lock(this->mutex);
     this->target = target_config;
+  }
+  this->RefreshLimits();
+}
+
+void GateRunner::RefreshLimits() {
+  const GateLimits limits = this->hooks.limits(this->config());
+  std::vector<GateAction> actions;
+  {
+    const std::lock_guard lock(this->mutex);
     actions = this->gate.SetLimits(limits, this->clock.Now());
+    this->Record(actions);
   }
   this->Perform(actions);
 }
@@ -56,15 +88,21 @@
   {
     const std::lock_guard lock(this->mutex);
     actions = this->gate.SetAdmission(admission, this->clock.Now());
+    this->Record(actions);
   }
   this->Perform(actions);
 }
 
 void GateRunner::OnTimer() {
+  if (this->queued() == 0) {
+    return;
+  }
+  this->RefreshLimits();
   std::vector<GateAction> actions;
   {
     const std::lock_guard lock(this->mutex);
     actions = this->gate.OnTimer(this->clock.Now());
+    this->Record(actions);
   }
   this->Perform(actions);
 }
@@ -99,11 +137,6 @@
   return this->gate.cold();
 }
 
-std::optional<std::uint32_t> GateRunner::reported_load() const {
-  const std::lock_guard lock(this->mutex);
-  return this->last_load;
-}
-
 void GateRunner::Perform(const std::vector<GateAction>& actions) {
   for (const GateAction& action : actions) {
     if (const auto* dispatch = std::get_if<DispatchAttempt>(&action)) {
@@ -125,18 +158,32 @@
       entry = found->second;
     }
   }
-  // The query may have finished since the gate decided; it must not report "not
-  // run" for work that is sent now.
-  if (!entry || entry->aborted || !entry->observer.authorize_dispatch(id)) {
-    boost::asio::post(this->context, [self = this->shared_from_this(), id] {
-      std::vector<GateAction> actions;
-      {
-        const std::lock_guard lock(self->mutex);
-        actions = self->gate.OnExchangeEnded(id, self->clock.Now());
-      }
-      self->Reject(id, Reason::kCancelledByCaller);
-      self->Perform(actions);
-    });
+  if (!entry) {
+    return;
+  }
+  const TargetConfig target_config = this->config();
+  if (!this->hooks.may_send(target_config)) {
+    this->Withdraw(id, Reason::kStaleKnowledge);
+    return;
+  }
+  // The attempt counts as in flight already, so a hand-over report that is made
+  // after this question includes it.
+  const GateLimits limits = this->hooks.limits(target_config);
+  bool within_limits = false;
+  std::vector<GateAction> actions;
+  {
+    const std::lock_guard lock(this->mutex);
+    actions = this->gate.SetLimits(limits, this->clock.Now());
+    this->Record(actions);
+    within_limits = this->gate.in_flight() <= this->gate.window();
+  }
+  this->Perform(actions);
+  if (!within_limits) {
+    this->Withdraw(id, Reason::kNotOwner);
+    return;
+  }
+  if (!this->Authorize(*entry)) {
+    this->Withdraw(id, Reason::kCancelledByCaller);
     return;
   }
   this->client->Execute(
@@ -145,6 +192,26 @@
       });
 }
 
+// The query may have finished since the gate decided; it must not report "not
+// run" for work that is sent now.
+bool GateRunner::Authorize(const Entry& entry) {
+  return !entry.aborted && entry.observer.authorize_dispatch(entry.request.id);
+}
+
+void GateRunner::Withdraw(const AttemptId& id, Reason reason) {
+  boost::asio::post(
+      this->context, [self = this->shared_from_this(), id, reason] {
+        std::vector<GateAction> actions;
+        {
+          const std::lock_guard lock(self->mutex);
+          actions = self->gate.OnExchangeEnded(id, self->clock.Now());
+          self->Record(actions);
+        }
+        self->Reject(id, reason);
+        self->Perform(actions);
+      });
+}
+
 void GateRunner::Reject(const AttemptId& id, Reason reason) {
   std::optional<Entry> entry = this->TakeEntry(id);
   if (entry) {
@@ -172,13 +239,8 @@
   std::vector<GateAction> actions;
   {
     const std::lock_guard lock(this->mutex);
-    if (reply.report.load) {
-      this->last_load = reply.report.load;
-    }
-    actions = reply.connection_lost
-                  ? this->gate.OnConnectionLost(id, this->clock.Now())
-                  : this->gate.OnReply(id, reply.outcome, reply.report,
-                                       this->clock.Now());
+    actions = this->Conclude(id, reply);
+    this->Record(actions);
   }
   const std::optional<Entry> entry = this->TakeEntry(id);
   if (entry && reply.outcome == ReplyOutcome::kOk) {
@@ -189,6 +251,18 @@
   this->Perform(actions);
 }
 
+std::vector<GateAction> GateRunner::Conclude(const AttemptId& id,
+                                             const TargetReply& reply) {
+  const TimePoint now = this->clock.Now();
+  if (reply.connection_lost) {
+    return this->gate.OnConnectionLost(id, now);
+  }
+  if (reply.timed_out) {
+    return this->gate.OnExchangeEnded(id, now);
+  }
+  return this->gate.OnReply(id, reply.outcome, reply.report, now);
+}
+
 std::optional<GateRunner::Entry> GateRunner::TakeEntry(const AttemptId& id) {
   const std::lock_guard lock(this->mutex);
   const auto found = this->entries.find(id);
--- a/src/daemon/gate_runner.h
+++ b/src/daemon/gate_runner.h
@@ -10,6 +10,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "src/daemon/decision_recorder.h"
+#include "src/daemon/gate_hooks.h"
 #include "src/daemon/sub_request.h"
 #include "src/daemon/target_client.h"
 
@@ -22,12 +24,15 @@
   GateRunner(boost::asio::io_context& context,
              const Clock& clock,
              const TargetConfig& target,
-             GateLimits limits);
+             const GateHooks& hooks,
+             DecisionRecorder& recorder);
 
   void Enqueue(const SubRequest& request, SubRequestObserver observer);
   void Cancel(const AttemptId& id, Reason reason);
-  /// Takes over changed limits of the target and this host's part of them.
-  void Configure(const TargetConfig& target, GateLimits limits);
+  /// Takes over changed limits of the target.
+  void Configure(const TargetConfig& target);
+  /// Asks for this host's part of the limits again.
+  void RefreshLimits();
   void SetAdmission(GateAdmission admission);
   void OnTimer();
 
@@ -38,7 +43,6 @@
   std::size_t queued() const;
   std::uint32_t window() const;
   bool cold() const;
-  std::optional<std::uint32_t> reported_load() const;
 
  private:
   struct Entry {
@@ -47,21 +51,27 @@
     bool aborted = false;
   };
 
+  bool Authorize(const Entry& entry);
+  void Withdraw(const AttemptId& id, Reason reason);
+  void Record(const std::vector<GateAction>& actions);
   void Perform(const std::vector<GateAction>& actions);
   void Dispatch(const AttemptId& id);
   void Reject(const AttemptId& id, Reason reason);
   void Abort(const AttemptId& id);
   void OnReply(const AttemptId& id, TargetReply reply);
+  std::vector<GateAction> Conclude(const AttemptId& id,
+                                   const TargetReply& reply);
   std::optional<Entry> TakeEntry(const AttemptId& id);
 
   boost::asio::io_context& context;
   const Clock& clock;
+  const GateHooks& hooks;
+  DecisionRecorder& recorder;
   TargetConfig target;
   std::shared_ptr<TargetClient> client;
   mutable std::mutex mutex;
   TargetGate gate;
   std::unordered_map<AttemptId, Entry> entries;
-  std::optional<std::uint32_t> last_load;
 };
 
 }  // namespace auburnyard
--- a/src/daemon/gate_table.cc
+++ b/src/daemon/gate_table.cc
@@ -24,8 +24,16 @@
 
 GateTable::GateTable(boost::asio::io_context& io_context,
                      const Clock& runtime_clock,
-                     std::function<GateLimits(const TargetConfig&)> limits_of)
-    : context(io_context), clock(runtime_clock), limits(std::move(limits_of)) {}
+                     GateHooks gate_hooks,
+                     DecisionRecorder& decision_recorder)
+    : context(io_context),
+      clock(runtime_clock),
+      hooks(std::move(gate_hooks)),
+      recorder(decision_recorder) {}
+
+void GateTable::SetDomain(std::string own_domain) {
+  this->domain = std::move(own_domain);
+}
 
 void GateTable::Apply(const Configuration& configuration) {
   std::vector<std::shared_ptr<GateRunner>> removed;
@@ -43,10 +51,13 @@
       }
     }
     for (const auto& [id, target] : configuration.targets) {
+      if (!this->domain.empty() && target.domain != this->domain) {
+        continue;
+      }
       std::shared_ptr<GateRunner>& gate = this->gates[id];
       if (!gate) {
         gate = std::make_shared<GateRunner>(this->context, this->clock, target,
-                                            this->limits(target));
+                                            this->hooks, this->recorder);
       }
       present.emplace_back(gate, target);
     }
@@ -55,15 +66,14 @@
     gate->SetAdmission({.domain_in = true, .leaving = true});
   }
   for (const auto& [gate, target] : present) {
-    gate->Configure(target, this->limits(target));
+    gate->Configure(target);
     gate->SetAdmission(AdmissionOf(configuration, target));
   }
 }
 
 void GateTable::RefreshLimits() {
   for (const auto& gate : this->Snapshot()) {
-    const TargetConfig target = gate->config();
-    gate->Configure(target, this->limits(target));
+    gate->RefreshLimits();
   }
 }
 
--- a/src/daemon/gate_table.h
+++ b/src/daemon/gate_table.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "auburnyard/configuration.h"
+#include "src/daemon/gate_hooks.h"
 #include "src/daemon/gate_runner.h"
 
 namespace auburnyard {
@@ -21,8 +22,11 @@
  public:
   GateTable(boost::asio::io_context& context,
             const Clock& clock,
-            std::function<GateLimits(const TargetConfig&)> limits);
+            GateHooks hooks,
+            DecisionRecorder& recorder);
 
+  /// `own_domain`: gates of other domains are not created; empty: all are.
+  void SetDomain(std::string own_domain);
   /// Creates, updates and removes gates. Work queued at removed gates is
   /// rejected.
   void Apply(const Configuration& configuration);
@@ -44,7 +48,9 @@
 
   boost::asio::io_context& context;
   const Clock& clock;
-  std::function<GateLimits(const TargetConfig&)> limits;
+  GateHooks hooks;
+  DecisionRecorder& recorder;
+  std::string domain;
   mutable std::shared_mutex mutex;
   std::map<std::string, std::shared_ptr<GateRunner>, std::less<>> gates;
 };
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,11 +3,10 @@
 #include <memory>
 
 #include <popt.h>
-#include <spdlog/spdlog.h>
-
 #include "auburnyard/error.h"
 #include "src/daemon/entry_host.h"
 #include "src/daemon/settings.h"
+#include "src/net/log.h"
 
 namespace {
 
@@ -57,8 +56,14 @@
       std::cout << kVersion << '\n';
       return EXIT_SUCCESS;
     }
-    auburnyard::EntryHost host(auburnyard::LoadSettings(options.settings_path));
-    host.Run();
+    const auburnyard::Settings settings =
+        auburnyard::LoadSettings(options.settings_path);
+    auburnyard::SetUpLogging(settings.log_level);
+    {
+      auburnyard::EntryHost host(settings);
+      host.Run();
+    }
+    auburnyard::ShutDownLogging();
     return EXIT_SUCCESS;
   } catch (const auburnyard::Error& error) {
     std::cerr << "auburnyardd: " << error.what() << '\n';
--- a/src/daemon/membership_hooks.h
+++ b/src/daemon/membership_hooks.h
@@ -12,14 +12,14 @@
 namespace auburnyard {
 
 /// Revision of a document and the age of the knowledge that it is the newest.
-struct DocumentDigest {
+struct PeerDigest {
   std::string key;
   std::uint64_t revision = 0;
   std::chrono::milliseconds age{0};
 };
 
 struct PeerDocument {
-  DocumentDigest digest;
+  PeerDigest digest;
   std::string content;
 };
 
@@ -27,11 +27,11 @@
 /// on threads of the io_context, with no lock held.
 struct MembershipHooks {
   /// Digests to send with gossip.
-  std::function<std::vector<DocumentDigest>()> digests;
+  std::function<std::vector<PeerDigest>()> digests;
   /// Digests of a peer. Answers the peer with documents by
   /// MembershipService::SendDocument.
   std::function<void(const std::string& peer_address,
-                     const std::vector<DocumentDigest>& digests)>
+                     const std::vector<PeerDigest>& digests)>
       on_digests;
   std::function<void(const PeerIdentity& sender, PeerDocument document)>
       on_document;
--- a/src/daemon/membership_service.cc
+++ b/src/daemon/membership_service.cc
@@ -46,8 +46,8 @@
 }
 
 template <typename Message>
-void AddDigests(const std::vector<DocumentDigest>& digests, Message* message) {
-  for (const DocumentDigest& digest : digests) {
+void AddDigests(const std::vector<PeerDigest>& digests, Message* message) {
+  for (const PeerDigest& digest : digests) {
     proto::Digest* entry = message->add_digests();
     entry->set_key(digest.key);
     entry->set_revision(digest.revision);
@@ -184,7 +184,7 @@
     left = this->leaving;
   }
   this->SendAll(messages, this->hooks.digests ? this->hooks.digests()
-                                              : std::vector<DocumentDigest>());
+                                              : std::vector<PeerDigest>());
   if (left) {
     this->Leave();
   }
@@ -193,7 +193,7 @@
 }
 
 void MembershipService::SendAll(const std::vector<OutgoingMessage>& messages,
-                                const std::vector<DocumentDigest>& digests) {
+                                const std::vector<PeerDigest>& digests) {
   for (const OutgoingMessage& message : messages) {
     proto::Envelope envelope = ToEnvelope(message.message);
     if (envelope.has_gossip()) {
@@ -279,7 +279,7 @@
   if (!this->hooks.on_digests || envelope.gossip().digests().empty()) {
     return;
   }
-  std::vector<DocumentDigest> digests;
+  std::vector<PeerDigest> digests;
   for (const proto::Digest& entry : envelope.gossip().digests()) {
     digests.push_back({entry.key(), entry.revision(),
                        std::chrono::milliseconds(entry.age_ms())});
@@ -365,11 +365,11 @@
       }));
 }
 
-std::vector<HostStatus> MembershipService::Hosts() {
+std::vector<MemberStatus> MembershipService::Hosts() {
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.Now();
   const HostRecord& self = this->membership.self();
-  std::vector<HostStatus> hosts = {{self, self.state, Duration::zero()}};
+  std::vector<MemberStatus> hosts = {{self, self.state, Duration::zero()}};
   for (const auto& [id, member] : this->membership.others()) {
     hosts.push_back({member.record, this->membership.StateOf(member, now),
                      member.round_trip});
@@ -377,6 +377,14 @@
   return hosts;
 }
 
+std::size_t MembershipService::LiveCount() {
+  const std::vector<MemberStatus> hosts = this->Hosts();
+  return 1 + static_cast<std::size_t>(std::count_if(
+                 hosts.begin(), hosts.end(), [](const MemberStatus& host) {
+                   return host.state == HostState::kLive;
+                 }));
+}
+
 HostState MembershipService::StateOf(std::string_view id) {
   const std::lock_guard lock(this->mutex);
   const auto found = this->membership.others().find(id);
--- a/src/daemon/membership_service.h
+++ b/src/daemon/membership_service.h
@@ -25,7 +25,7 @@
 namespace auburnyard {
 
 /// A host as `status` reports it.
-struct HostStatus {
+struct MemberStatus {
   HostRecord record;
   HostState state = HostState::kLive;
   std::optional<Duration> round_trip;
@@ -65,7 +65,9 @@
   bool Admitted();
   /// Rank of this host among the live hosts of its domain, 0 for the lowest id.
   std::size_t RankInDomain();
-  std::vector<HostStatus> Hosts();
+  std::vector<MemberStatus> Hosts();
+  /// Live hosts, this one included.
+  std::size_t LiveCount();
   HostState StateOf(std::string_view id);
   /// A host did not answer in time.
   void ReportUnreachable(std::string_view id);
@@ -91,7 +93,7 @@
   void ReadHostList();
   void OnHostList(const ExchangeResult& result);
   void SendAll(const std::vector<OutgoingMessage>& messages,
-               const std::vector<DocumentDigest>& digests);
+               const std::vector<PeerDigest>& digests);
   void UpdateInFlight();
   void ReportChange();
   Duration Jitter(Duration range);
--- /dev/null
+++ b/src/daemon/query_planner.h
@@ -0,0 +1,48 @@
+#ifndef AUBURNYARD_SRC_DAEMON_QUERY_PLANNER_H_
+#define AUBURNYARD_SRC_DAEMON_QUERY_PLANNER_H_
+
+#include <memory>
+#include <string>
+
+#include "auburnyard/query_machine.h"
+#include "auburnyard/replica_choice.h"
+#include "auburnyard/service_state.h"
+#include "src/daemon/settings.h"
+
+namespace auburnyard {
+
+/// Gives queries their replica order, budgets and hedge delay, and learns from
+/// what happens to their attempts. Thread safe.
+class QueryPlanner {
+ public:
+  QueryPlanner(SharingPolicy policy, const Clock& clock, std::uint64_t seed);
+
+  /// `newest_map`: newest shard map of the service.
+  QueryHooks HooksFor(
+      const std::string& service,
+      const ServiceConfig& config,
+      std::function<std::shared_ptr<const ShardMap>()> newest_map,
+      std::function<void(Reason)> note);
+  QueryPolicy PolicyFor(const std::string& service,
+                        const ServiceConfig& config);
+
+  void ApplyConfiguration(const Configuration& configuration);
+  TargetKnowledge& targets() { return *this->knowledge; }
+  /// Latency of a sub-request, from its enqueueing.
+  void ObserveLatency(const std::string& service,
+                      const ServiceConfig& config,
+                      Duration latency);
+
+ private:
+  SharingPolicy policy;
+  const Clock& clock;
+  std::shared_ptr<TargetKnowledge> knowledge;
+  ReplicaOrder order;
+  ServiceStates services;
+  std::mutex mutex;
+  std::vector<std::string> known_targets;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_DAEMON_QUERY_PLANNER_H_
--- /dev/null
+++ b/src/daemon/query_service.h
@@ -0,0 +1,71 @@
+#ifndef AUBURNYARD_SRC_DAEMON_QUERY_SERVICE_H_
+#define AUBURNYARD_SRC_DAEMON_QUERY_SERVICE_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "auburnyard/configuration_store.h"
+#include "auburnyard/knowledge.h"
+#include "auburnyard/query.h"
+#include "src/daemon/claim_service.h"
+#include "src/daemon/decision_recorder.h"
+#include "src/daemon/dispatcher.h"
+#include "src/daemon/query_planner.h"
+#include "src/daemon/running_query.h"
+#include "src/net/peer_watch.h"
+
+namespace auburnyard {
+
+/// Parts of the daemon that queries use. They must outlive the service.
+struct QueryServiceParts {
+  boost::asio::io_context& context;
+  const Clock& clock;
+  const ConfigurationStore& store;
+  const Knowledge& knowledge;
+  QueryPlanner& planner;
+  Dispatcher& dispatcher;
+  DecisionRecorder& recorder;
+  std::shared_ptr<ClaimService> claims;
+};
+
+/// Accepts queries and runs them. Thread safe.
+class QueryService {
+ public:
+  using Callback = std::function<void(QueryOutcome)>;
+
+  QueryService(QueryServiceParts parts, std::string start_nonce);
+
+  /// Runs the query; the callback runs once unless the caller leaves. Throws
+  /// Error if it cannot be started; then nothing of it ran.
+  void Submit(const QueryRequest& request,
+              const std::shared_ptr<PeerWatch>& peer,
+              Callback callback);
+  std::size_t running() const { return this->running_count.load(); }
+
+ private:
+  struct Context;
+
+  void SubmitClaimed(const std::shared_ptr<Context>& query);
+  void OnVerdict(const std::shared_ptr<Context>& query,
+                 const ClaimVerdict& verdict);
+  void Start(const std::shared_ptr<Context>& query);
+  void Finish(const std::shared_ptr<Context>& query, QueryOutcome outcome);
+  void RecordClaim(const Context& query, const QueryOutcome& outcome);
+  RunningQueryHooks MakeHooks(const std::shared_ptr<Context>& query);
+  QueryMachine MakeMachine(const Context& query);
+  void Note(const std::string& decision, Reason reason);
+  std::shared_ptr<Context> MakeContext(const QueryRequest& request);
+
+  QueryServiceParts parts;
+  std::string start_nonce;
+  std::atomic<std::uint64_t> next_query{0};
+  std::atomic<std::size_t> running_count{0};
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_DAEMON_QUERY_SERVICE_H_
--- a/src/daemon/remote_gate_front.cc
+++ b/src/daemon/remote_gate_front.cc
@@ -11,7 +11,7 @@
     : hooks(std::move(front_hooks)) {}
 
 void RemoteGateFront::Enqueue(const HostRecord& owner,
-                              RemoteGateRequest request,
+                              SubRequest request,
                               TimePoint now) {
   std::vector<AttemptId> lost;
   {
@@ -28,7 +28,7 @@
       entry.heard = now;
     }
     ++entry.outstanding;
-    this->attempts[request.attempt] = {owner.id, request.target};
+    this->attempts[request.id] = {owner.id, request.target};
     entry.unsent.push_back(std::move(request));
   }
   this->Fail(lost, Reason::kRetryOwnerSilent, RunState::kUnknown);
@@ -45,7 +45,7 @@
     }
     Owner& owner = this->owners.at(found->second.owner);
     unsent = std::erase_if(owner.unsent, [&attempt](const auto& request) {
-               return request.attempt == attempt;
+               return request.id == attempt;
              }) > 0;
     if (unsent) {
       this->Forget(attempt);
@@ -67,10 +67,10 @@
 RemoteGateFront::Batch RemoteGateFront::TakeBatch(Owner& owner, TimePoint now) {
   Batch batch;
   batch.address = owner.address;
-  for (const RemoteGateRequest& request : owner.unsent) {
+  for (const SubRequest& request : owner.unsent) {
     WriteRequest(request, now,
                  *batch.requests.mutable_enqueue()->add_requests());
-    batch.attempts.push_back(request.attempt);
+    batch.attempts.push_back(request.id);
   }
   for (const proto::Cancellation& cancellation : owner.cancellations) {
     *batch.cancellations.mutable_cancel()->add_cancellations() = cancellation;
@@ -191,9 +191,9 @@
     if (owner == this->owners.end()) {
       return;
     }
-    for (const RemoteGateRequest& request : owner->second.unsent) {
-      this->Forget(request.attempt);
-      unsent.push_back(request.attempt);
+    for (const SubRequest& request : owner->second.unsent) {
+      this->Forget(request.id);
+      unsent.push_back(request.id);
     }
     sent = this->TakeAttempts(id);
     this->owners.erase(owner);
--- a/src/daemon/remote_gate_front.h
+++ b/src/daemon/remote_gate_front.h
@@ -11,7 +11,8 @@
 
 #include "auburnyard.pb.h"
 #include "auburnyard/host_record.h"
-#include "src/daemon/remote_gate_request.h"
+#include "src/daemon/remote_gate_outcome.h"
+#include "src/daemon/sub_request.h"
 
 namespace auburnyard {
 
@@ -37,9 +38,7 @@
 
   explicit RemoteGateFront(RemoteGateFrontHooks hooks);
 
-  void Enqueue(const HostRecord& owner,
-               RemoteGateRequest request,
-               TimePoint now);
+  void Enqueue(const HostRecord& owner, SubRequest request, TimePoint now);
   /// The outcome follows by on_outcome.
   void Cancel(const AttemptId& attempt, Reason reason);
   void Flush(TimePoint now);
@@ -59,7 +58,7 @@
     std::string address;
     std::uint64_t nonce = 0;
     TimePoint heard;
-    std::vector<RemoteGateRequest> unsent;
+    std::vector<SubRequest> unsent;
     std::vector<proto::Cancellation> cancellations;
     std::size_t outstanding = 0;
   };
--- a/src/daemon/remote_gate_request.h
+++ b/src/daemon/remote_gate_outcome.h
@@ -1,5 +1,5 @@
-#ifndef AUBURNYARD_SRC_DAEMON_REMOTE_GATE_REQUEST_H_
-#define AUBURNYARD_SRC_DAEMON_REMOTE_GATE_REQUEST_H_
+#ifndef AUBURNYARD_SRC_DAEMON_REMOTE_GATE_OUTCOME_H_
+#define AUBURNYARD_SRC_DAEMON_REMOTE_GATE_OUTCOME_H_
 
 #include <cstdint>
 #include <string>
@@ -13,20 +13,6 @@
 
 namespace auburnyard {
 
-/// A sub-request that a front sends to the owner of its target.
-struct RemoteGateRequest {
-  AttemptId attempt;
-  std::string target;
-  std::string service;
-  std::string shard;
-  KeyRange range;
-  std::string snapshot;
-  std::string query;
-  TimePoint deadline;
-  PriorityClass priority = PriorityClass::kNormal;
-  bool idempotent = true;
-};
-
 /// End of a sub-request. Reason and run state apply if it is not `ok`, the
 /// result if it is.
 struct RemoteGateOutcome {
@@ -49,4 +35,4 @@
 
 }  // namespace auburnyard
 
-#endif  // AUBURNYARD_SRC_DAEMON_REMOTE_GATE_REQUEST_H_
+#endif  // AUBURNYARD_SRC_DAEMON_REMOTE_GATE_OUTCOME_H_
--- a/src/daemon/remote_gate_owner.cc
+++ b/src/daemon/remote_gate_owner.cc
@@ -30,14 +30,14 @@
 // An attempt identifier that is known already belongs to a duplicate message;
 // running it twice would break the limit of one run.
 bool RemoteGateOwner::Add(const FrontIdentity& front,
-                          const RemoteGateRequest& request,
+                          const SubRequest& request,
                           TimePoint now) {
   const std::lock_guard lock(this->mutex);
-  if (this->attempts.contains(request.attempt)) {
+  if (this->attempts.contains(request.id)) {
     return false;
   }
-  this->attempts[request.attempt] = {front, request.target, false,
-                                     request.idempotent};
+  this->attempts[request.id] = {front, request.target, false,
+                                request.idempotent};
   Front& entry = this->fronts[front];
   if (entry.outstanding == 0) {
     entry.reported = now;
@@ -51,7 +51,7 @@
   const FrontIdentity front{envelope.sender(), envelope.address(),
                             envelope.start_nonce()};
   for (const proto::SubRequest& entry : envelope.enqueue().requests()) {
-    const std::optional<RemoteGateRequest> request = ReadRequest(entry, now);
+    const std::optional<SubRequest> request = ReadRequest(entry, now);
     if (request && this->Add(front, *request, now)) {
       this->hooks.enqueue(*request);
     }
--- a/src/daemon/remote_gate_owner.h
+++ b/src/daemon/remote_gate_owner.h
@@ -10,7 +10,8 @@
 #include <vector>
 
 #include "auburnyard.pb.h"
-#include "src/daemon/remote_gate_request.h"
+#include "src/daemon/remote_gate_outcome.h"
+#include "src/daemon/sub_request.h"
 
 namespace auburnyard {
 
@@ -22,7 +23,7 @@
   std::function<void()> request_flush;
   /// Puts a request into the gate of its target. The gate answers with
   /// OnStarted and OnFinished.
-  std::function<void(const RemoteGateRequest& request)> enqueue;
+  std::function<void(const SubRequest& request)> enqueue;
   /// Cancels a request that waits or runs. The gate answers with OnFinished.
   std::function<
       void(const AttemptId& attempt, const std::string& target, Reason reason)>
@@ -67,7 +68,7 @@
   void OnEnqueue(const proto::Envelope& envelope, TimePoint now);
   void OnCancel(const proto::Envelope& envelope);
   bool Add(const FrontIdentity& front,
-           const RemoteGateRequest& request,
+           const SubRequest& request,
            TimePoint now);
   void Send(const std::string& address, const Front& reports);
   void SendOutcomes(const std::string& address,
--- a/src/daemon/remote_gate_wire.cc
+++ b/src/daemon/remote_gate_wire.cc
@@ -6,12 +6,13 @@
 
 namespace auburnyard {
 
-void WriteRequest(const RemoteGateRequest& request,
+void WriteRequest(const SubRequest& request,
                   TimePoint now,
                   proto::SubRequest& out) {
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       request.deadline - now);
-  out.set_attempt(request.attempt);
+  out.set_attempt(request.id);
+  out.set_request_id(request.request_id);
   out.set_target(request.target);
   out.set_service(request.service);
   out.set_shard(request.shard);
@@ -25,24 +26,26 @@
   out.set_idempotent(request.idempotent);
 }
 
-std::optional<RemoteGateRequest> ReadRequest(const proto::SubRequest& request,
-                                             TimePoint now) {
+std::optional<SubRequest> ReadRequest(const proto::SubRequest& request,
+                                      TimePoint now) {
   if (request.attempt().empty() || request.target().empty() ||
       request.priority() >= kPriorityClassCount ||
       request.deadline_ms() > kMaxDeadline.count()) {
     return std::nullopt;
   }
-  return RemoteGateRequest{
-      request.attempt(),
-      request.target(),
-      request.service(),
-      request.shard(),
-      {request.begin(), request.end()},
-      request.snapshot(),
-      request.query(),
-      now + std::chrono::milliseconds(request.deadline_ms()),
-      static_cast<PriorityClass>(request.priority()),
-      request.idempotent()};
+  SubRequest result;
+  result.id = request.attempt();
+  result.request_id = request.request_id();
+  result.service = request.service();
+  result.query = request.query();
+  result.target = request.target();
+  result.shard = request.shard();
+  result.snapshot = request.snapshot();
+  result.range = {request.begin(), request.end()};
+  result.priority = static_cast<PriorityClass>(request.priority());
+  result.deadline = now + std::chrono::milliseconds(request.deadline_ms());
+  result.idempotent = request.idempotent();
+  return result;
 }
 
 void WriteOutcome(const RemoteGateOutcome& outcome, proto::SubOutcome& out) {
--- a/src/daemon/remote_gate_wire.h
+++ b/src/daemon/remote_gate_wire.h
@@ -4,17 +4,18 @@
 #include <optional>
 
 #include "auburnyard.pb.h"
-#include "src/daemon/remote_gate_request.h"
+#include "src/daemon/remote_gate_outcome.h"
+#include "src/daemon/sub_request.h"
 
 namespace auburnyard {
 
 /// The deadline travels as the time that is left at `now`.
-void WriteRequest(const RemoteGateRequest& request,
+void WriteRequest(const SubRequest& request,
                   TimePoint now,
                   proto::SubRequest& out);
 /// Empty if a member is out of bounds.
-std::optional<RemoteGateRequest> ReadRequest(const proto::SubRequest& request,
-                                             TimePoint now);
+std::optional<SubRequest> ReadRequest(const proto::SubRequest& request,
+                                      TimePoint now);
 void WriteOutcome(const RemoteGateOutcome& outcome, proto::SubOutcome& out);
 /// An outcome with an unknown reason or run state counts as a bad reply that
 /// may have run.
--- a/src/daemon/running_query.cc
+++ b/src/daemon/running_query.cc
@@ -2,32 +2,33 @@
 
 #include <utility>
 
+#include "auburnyard/decision_records.h"
+
 namespace auburnyard {
 
 RunningQuery::RunningQuery(boost::asio::io_context& io_context,
                            const Clock& runtime_clock,
-                           QueryRoutes query_routes,
+                           DecisionRecorder& decision_recorder,
+                           RunningQueryHooks query_hooks,
                            const QueryRequest& query,
-                           QueryMachine query_machine,
-                           Callback done)
+                           QueryMachine query_machine)
     : context(io_context),
       clock(runtime_clock),
-      routes(std::move(query_routes)),
+      recorder(decision_recorder),
+      hooks(std::move(query_hooks)),
       request(query),
       machine(std::move(query_machine)),
-      timer(io_context),
-      callback(std::move(done)) {}
+      timer(io_context) {}
 
-void RunningQuery::Start() {
+void RunningQuery::Start(Callback done) {
+  this->callback = std::move(done);
+  this->recorder.Record(MakeReceivedRecord(
+      this->machine.decision(), this->request, this->recorder.Time()));
   this->Run(
       [](QueryMachine& state, TimePoint now) { return state.Start(now); });
 }
 
 void RunningQuery::Abandon() {
-  {
-    const std::lock_guard lock(this->mutex);
-    this->callback = nullptr;
-  }
   this->Run([](QueryMachine& state, TimePoint now) {
     return state.OnCallerGone(now);
   });
@@ -73,31 +74,40 @@
 void RunningQuery::Perform(std::vector<QueryAction> actions) {
   std::vector<SubRequest> batch;
   for (QueryAction& action : actions) {
+    this->recorder.Record(
+        MakeRecord(this->machine.decision(), action, this->recorder.Time()));
     if (const auto* start = std::get_if<StartAttempt>(&action)) {
       batch.push_back(this->MakeSubRequest(*start));
     } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
-      this->routes.cancel(cancel->target, cancel->id, cancel->reason);
-    } else {
-      Callback done;
-      {
-        const std::lock_guard lock(this->mutex);
-        done.swap(this->callback);
-      }
-      if (auto* answer = std::get_if<FinishWithAnswer>(&action);
-          answer != nullptr && done) {
-        done(std::move(answer->answer));
-      } else if (auto* refusal = std::get_if<FinishWithRefusal>(&action);
-                 refusal != nullptr && done) {
-        done(std::move(refusal->refusal));
-      }
+      this->hooks.cancel(cancel->target, cancel->id, cancel->reason);
+    } else if (auto* answer = std::get_if<FinishWithAnswer>(&action)) {
+      this->Finish(std::move(answer->answer));
+    } else if (auto* refusal = std::get_if<FinishWithRefusal>(&action)) {
+      this->Finish(std::move(refusal->refusal));
     }
   }
   if (!batch.empty()) {
-    this->routes.enqueue(std::move(batch), this->MakeObserver());
+    this->hooks.enqueue(batch, this->MakeObserver());
+  }
+}
+
+void RunningQuery::Finish(QueryOutcome outcome) {
+  Callback done;
+  {
+    const std::lock_guard lock(this->mutex);
+    done.swap(this->callback);
+  }
+  if (done) {
+    done(std::move(outcome));
   }
 }
 
-SubRequest RunningQuery::MakeSubRequest(const StartAttempt& attempt) const {
+SubRequest RunningQuery::MakeSubRequest(const StartAttempt& attempt) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->attempts[attempt.id] = {attempt.target, this->clock.Now(), {}};
+  }
+  this->hooks.on_start(attempt.target);
   SubRequest sub_request;
   sub_request.id = attempt.id;
   sub_request.request_id = this->request.request_id.empty()
@@ -120,33 +130,80 @@
   return {
       .authorize_dispatch =
           [self](const AttemptId& id) { return self->AuthorizeDispatch(id); },
+      .started = [self](const AttemptId& id) { self->OnStarted(id); },
       .result =
           [self](const AttemptId& id, PartialResult result) {
-            self->Run([&id, &result](QueryMachine& state, TimePoint now) {
-              return state.OnResult(id, std::move(result), now);
-            });
+            self->OnResult(id, std::move(result));
           },
       .failure =
-          [self](const AttemptId& id, AttemptFailure failure) {
-            self->Run([&id, failure](QueryMachine& state, TimePoint now) {
-              return state.OnFailure(id, failure, now);
-            });
+          [self](const AttemptId& id, const AttemptFailure& failure) {
+            self->OnFailure(id, failure);
           }};
 }
 
+// The check and the change of the state are one step, so that the query cannot
+// report "not run" in between.
 bool RunningQuery::AuthorizeDispatch(const AttemptId& id) {
-  std::vector<QueryAction> actions;
   bool allowed = false;
-  {
-    const std::lock_guard lock(this->mutex);
-    allowed = this->machine.MayDispatch(id);
-    if (allowed) {
-      actions = this->machine.OnDispatched(id, this->clock.Now());
-      this->ArmTimer();
-    }
-  }
-  this->Perform(std::move(actions));
+  this->Run([this, &id, &allowed](QueryMachine& state, TimePoint now) {
+    allowed = state.MayDispatch(id) &&
+              (!this->hooks.may_dispatch || this->hooks.may_dispatch());
+    return allowed ? this->MarkDispatched(id, now) : std::vector<QueryAction>();
+  });
   return allowed;
 }
 
+void RunningQuery::OnStarted(const AttemptId& id) {
+  this->Run([this, &id](QueryMachine& /*state*/, TimePoint now) {
+    return this->MarkDispatched(id, now);
+  });
+}
+
+std::vector<QueryAction> RunningQuery::MarkDispatched(const AttemptId& id,
+                                                      TimePoint now) {
+  const auto found = this->attempts.find(id);
+  if (found != this->attempts.end()) {
+    found->second.dispatched = now;
+  }
+  return this->machine.OnDispatched(id, now);
+}
+
+void RunningQuery::OnResult(const AttemptId& id, PartialResult result) {
+  if (const std::optional<Attempt> attempt = this->TakeAttempt(id)) {
+    const TimePoint now = this->clock.Now();
+    this->recorder.Record(MakeResultRecord(id, attempt->target, result, {},
+                                           this->recorder.Time()));
+    this->hooks.on_result(
+        attempt->target, now - attempt->enqueued,
+        now - attempt->dispatched.value_or(attempt->enqueued));
+  }
+  this->Run([&id, &result](QueryMachine& state, TimePoint now) {
+    return state.OnResult(id, std::move(result), now);
+  });
+}
+
+void RunningQuery::OnFailure(const AttemptId& id,
+                             const AttemptFailure& failure) {
+  if (const std::optional<Attempt> attempt = this->TakeAttempt(id)) {
+    this->recorder.Record(MakeFailureRecord(id, attempt->target, failure, {},
+                                            this->recorder.Time()));
+    this->hooks.on_failure(attempt->target, failure);
+  }
+  this->Run([&id, &failure](QueryMachine& state, TimePoint now) {
+    return state.OnFailure(id, failure, now);
+  });
+}
+
+std::optional<RunningQuery::Attempt> RunningQuery::TakeAttempt(
+    const AttemptId& id) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->attempts.find(id);
+  if (found == this->attempts.end()) {
+    return std::nullopt;
+  }
+  Attempt attempt = std::move(found->second);
+  this->attempts.erase(found);
+  return attempt;
+}
+
 }  // namespace auburnyard
--- a/src/daemon/running_query.h
+++ b/src/daemon/running_query.h
@@ -4,8 +4,9 @@
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <span>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -13,19 +14,30 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "auburnyard/query_machine.h"
+#include "src/daemon/decision_recorder.h"
 #include "src/daemon/sub_request.h"
 
 namespace auburnyard {
 
 using QueryOutcome = std::variant<Answer, Refusal>;
 
-/// How a query reaches the gates.
-struct QueryRoutes {
-  std::function<void(std::vector<SubRequest>, const SubRequestObserver&)>
+/// What a running query needs from the rest of the daemon. Called with no lock
+/// of the query held, except `may_dispatch`.
+struct RunningQueryHooks {
+  std::function<void(const std::vector<SubRequest>&, const SubRequestObserver&)>
       enqueue;
   std::function<
       void(const std::string& target, const AttemptId& id, Reason reason)>
       cancel;
+  /// Asked right before each dispatch; empty: always allowed.
+  std::function<bool()> may_dispatch;
+  std::function<void(const std::string& target)> on_start;
+  /// `latency` is from the enqueueing, `service_time` from the dispatch.
+  std::function<
+      void(const std::string& target, Duration latency, Duration service_time)>
+      on_result;
+  std::function<void(const std::string& target, const AttemptFailure& failure)>
+      on_failure;
 };
 
 /// Drives the state machine of one query: executes its actions and feeds it
@@ -36,33 +48,46 @@
 
   RunningQuery(boost::asio::io_context& context,
                const Clock& clock,
-               QueryRoutes routes,
+               DecisionRecorder& recorder,
+               RunningQueryHooks hooks,
                const QueryRequest& request,
-               QueryMachine machine,
-               Callback callback);
+               QueryMachine machine);
 
-  void Start();
-  /// The caller closed its connection; all work is cancelled and the callback
-  /// is not run.
+  /// The callback runs once, unless the caller leaves an idempotent query.
+  void Start(Callback callback);
+  /// The caller closed its connection.
   void Abandon();
 
  private:
   using Step =
       std::function<std::vector<QueryAction>(QueryMachine&, TimePoint)>;
+  struct Attempt {
+    std::string target;
+    TimePoint enqueued;
+    std::optional<TimePoint> dispatched;
+  };
 
   void Run(const Step& step);
   void Perform(std::vector<QueryAction> actions);
+  void Finish(QueryOutcome outcome);
   void ArmTimer();
-  SubRequest MakeSubRequest(const StartAttempt& attempt) const;
+  SubRequest MakeSubRequest(const StartAttempt& attempt);
   SubRequestObserver MakeObserver();
   bool AuthorizeDispatch(const AttemptId& id);
+  void OnStarted(const AttemptId& id);
+  std::vector<QueryAction> MarkDispatched(const AttemptId& id, TimePoint now);
+  void OnResult(const AttemptId& id, PartialResult result);
+  void OnFailure(const AttemptId& id, const AttemptFailure& failure);
+  std::optional<Attempt> TakeAttempt(const AttemptId& id);
 
   boost::asio::io_context& context;
   const Clock& clock;
-  QueryRoutes routes;
+  DecisionRecorder& recorder;
+  RunningQueryHooks hooks;
   QueryRequest request;
   std::mutex mutex;
   QueryMachine machine;
+  std::unordered_map<AttemptId, Attempt> attempts;
   boost::asio::steady_timer timer;
   std::optional<TimePoint> armed_for;
   Callback callback;
--- a/src/daemon/sub_request.h
+++ b/src/daemon/sub_request.h
@@ -30,6 +30,8 @@
   /// Called before the first byte is sent. If it returns false, nothing is sent
   /// and `failure` follows.
   std::function<bool(const AttemptId&)> authorize_dispatch;
+  /// The owner of the target has sent it already.
+  std::function<void(const AttemptId&)> started;
   std::function<void(const AttemptId&, PartialResult)> result;
   std::function<void(const AttemptId&, AttemptFailure)> failure;
 };
--- a/src/daemon/target_client.cc
+++ b/src/daemon/target_client.cc
@@ -97,7 +97,8 @@
                       const SubRequest& request) {
   TargetReply reply;
   if (!exchange.error.empty()) {
-    reply.connection_lost = true;
+    reply.timed_out = exchange.timed_out;
+    reply.connection_lost = !exchange.timed_out;
     reply.failure = {Reason::kRetryConnectionFailed,
                      exchange.stage == ExchangeStage::kConnect
                          ? RunState::kNotRun
--- a/src/daemon/target_client.h
+++ b/src/daemon/target_client.h
@@ -17,6 +17,7 @@
 struct TargetReply {
   ReplyOutcome outcome = ReplyOutcome::kFailed;
   bool connection_lost = false;  ///< no reply; `report` is empty
+  bool timed_out = false;        ///< given up by this side; `report` is empty
   TargetReport report;
   PartialResult result;    ///< valid if outcome is kOk
   AttemptFailure failure;  ///< valid otherwise
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -106,6 +106,7 @@
   result.stage = stage;
   if (error) {
     result.error = error.message();
+    result.timed_out = error == boost::beast::error::timeout;
   } else {
     this->stream.expires_never();
     // Bytes after the response belong to no request of this connection, so it
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -33,7 +33,8 @@
   ExchangeStage stage = ExchangeStage::kDone;
   std::string error;  ///< empty on success
   HttpResponse response;
-  bool reusable = false;  ///< the connection may carry another exchange
+  bool timed_out = false;  ///< the time-out ended the exchange
+  bool reusable = false;   ///< the connection may carry another exchange
 };
 
 /// Client side of one HTTP/1.1 connection; one exchange at a time. Runs on a
--- a/src/net/peer_bus_counters.cc
+++ b/src/net/peer_bus_counters.cc
@@ -9,7 +9,7 @@
 // In the order of the fields of the envelope.
 constexpr std::array<std::string_view, kPeerMessageKinds> kKindNames = {
     "heartbeat", "heartbeat_ack", "gossip", "document", "enqueue",
-    "started",   "sub_result",    "cancel", "leave"};
+    "started",   "sub_result",    "cancel", "leave",    "knowledge"};
 
 }  // namespace
 
--- a/src/net/peer_bus_counters.h
+++ b/src/net/peer_bus_counters.h
@@ -10,7 +10,7 @@
 
 enum class PeerDrop { kQueueFull, kWrongKey, kOldNonce, kOversize, kMalformed };
 inline constexpr std::size_t kPeerDropCount = 5;
-inline constexpr std::size_t kPeerMessageKinds = 9;
+inline constexpr std::size_t kPeerMessageKinds = 10;
 
 std::string_view ToString(PeerDrop drop);
 /// Name of a message kind, by its index.
--- a/test/remote_gate_test.cc
+++ b/test/remote_gate_test.cc
@@ -34,7 +34,7 @@
                  return true;
                },
                [] {},
-               [this](const RemoteGateRequest& request) {
+               [this](const SubRequest& request) {
                  this->queued.push_back(request);
                },
                [this](const AttemptId& attempt, const std::string&, Reason) {
@@ -45,8 +45,8 @@
     HostRecord record;
     record.id = "owner";
     record.nonce = 9;
-    RemoteGateRequest request;
-    request.attempt = attempt;
+    SubRequest request;
+    request.id = attempt;
     request.target = "t";
     request.deadline = this->now + std::chrono::seconds(1);
     this->front.Enqueue(record, request, this->now);
@@ -72,7 +72,7 @@
   std::vector<AttemptId> cancelled;
   std::vector<std::string> silent;
   std::vector<RemoteGateOutcome> outcomes;
-  std::vector<RemoteGateRequest> queued;
+  std::vector<SubRequest> queued;
   RemoteGateFront front;
   RemoteGateOwner owner;
 };
