--- a/src/core/target_gate.cc
+++ b/src/core/target_gate.cc
@@ -160,8 +160,10 @@
                             const TargetReport& report,
                             TimePoint now,
                             std::vector<GateAction>& actions) {
-  const bool known = report.start_id.empty() || this->start_id.empty() ||
-                     report.start_id == this->start_id;
+  // The first identifier counts as new: the target can have restarted since
+  // the exchange began.
+  const bool known =
+      report.start_id.empty() || report.start_id == this->start_id;
   if (!known && exchange.epoch < this->cold_start.epoch()) {
     return;  // a late reply of the process before the restart
   }
