--- a/src/cli/host_call.cc
+++ b/src/cli/host_call.cc
@@ -33,7 +33,7 @@
 
 [[noreturn]] void ThrowProblem(const Options& options,
                                const HttpResponse& response,
-                               const boost::json::object& problem,
+                               const boost::json::value& problem,
                                std::ostream& out) {
   const detail::JsonReader reader(problem, "", ErrorKind::kProtocol);
   const auto kind = ParseErrorKind(reader.String("kind", ""));
@@ -97,7 +97,7 @@
     throw Error(ErrorKind::kProtocol, host + " answered with no JSON object");
   }
   if (response.status >= kFirstErrorStatus) {
-    ThrowProblem(options, response, body.get_object(), out);
+    ThrowProblem(options, response, body, out);
   }
   return body.get_object();
 }
