Add restrictions for the time in which the platform's service is down

Operators cannot confirm a plan while the service is unreachable, so a failing domain could not be taken out. A restriction is given to any host, spreads between peers, only forbids, and ends after its time or with a configuration of a higher revision than its base. It is accepted only by a stale host, so it does not replace intents.

An exchange keeps the shorter of two remaining times and an ended restriction is not taken again; otherwise two hosts would extend it by the time that messages take.

--- a/src/cli/intent_command.cc
+++ b/src/cli/intent_command.cc
@@ -75,6 +75,28 @@
                   out);
 }
 
+boost::json::object Restrict(const Options& options, std::ostream& out) {
+  constexpr std::uint64_t kDefaultSeconds = 600;
+  constexpr std::uint64_t kMillisecondsPerSecond = 1000;
+  const boost::json::object body{
+      {"id", options.Arguments(2, 2).at(1)},
+      {"author", options.Required("author")},
+      {"domain", options.Required("take-out")},
+      {"expires_ms", IntegerOption(options, "expires-s", kDefaultSeconds) *
+                         kMillisecondsPerSecond}};
+  return CallHost(options, CallKey::kOperator,
+                  {.method = "POST",
+                   .path = "/v1/restrictions",
+                   .body = boost::json::serialize(body)},
+                  out);
+}
+
+void PrintRestriction(const boost::json::object& answer, std::ostream& out) {
+  out << "domain " << Plain(answer.at("domain")) << " is out for "
+      << answer.at("expires_ms") << " ms or until revision "
+      << answer.at("base_revision") << " is replaced\n";
+}
+
 boost::json::object Get(const Options& options,
                         const std::string& path,
                         std::ostream& out) {
@@ -106,6 +128,9 @@
   } else if (action == "show") {
     answer = Get(options, PathOf(options.Arguments(2, 2).at(1)), out);
     print = PrintIntent;
+  } else if (action == "restrict") {
+    answer = Restrict(options, out);
+    print = PrintRestriction;
   } else if (action == "withdraw") {
     answer = CallHost(
         options, CallKey::kOperator,
@@ -113,7 +138,9 @@
         out);
   } else {
     throw Error(ErrorKind::kBadRequest,
-                "\"" + action + "\": expected create, list, show or withdraw");
+                "\"" + action +
+                    "\": expected create, list, show, withdraw or "
+                    "restrict");
   }
   if (options.Has("json")) {
     PrintJson(answer, out);
@@ -126,8 +153,10 @@
 
 Command IntentCommand() {
   return {.name = "intent",
-          .arguments = "create ID | list | show ID | withdraw ID",
-          .summary = "Creates, lists, shows or withdraws intents.",
+          .arguments = "create ID | list | show ID | withdraw ID | restrict ID",
+          .summary =
+              "Creates, lists, shows or withdraws intents; restrict "
+              "takes a domain out while the platform's service is down.",
           .options = {{"author", "NAME", "who wants it"},
                       {"text", "TEXT", "why"},
                       {"service", "NAME",
@@ -137,6 +166,8 @@
                       {"bring-back", "DOMAIN", "the domain gets work again"},
                       {"leave", "TARGET", "the target gets no new work"},
                       {"return", "TARGET", "the target gets work again"},
+                      {"expires-s", "N",
+                       "end of a restriction (default 600, at most 3600)"},
                       {"class-order", "LIST",
                        "classes, first served first, separated by commas"}},
           .run = Run};
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -74,8 +74,9 @@
     return false;
   }
   const Segments path = SplitPath(request.path);
+  const bool single = path[0] == "status" || path[0] == "restrictions";
   if (path[0] != "intents" && path[0] != "plans" &&
-      (path[0] != "status" || path.size() != 1)) {
+      (!single || path.size() != 1)) {
     return false;
   }
   try {
@@ -103,6 +104,8 @@
   }
   if (path[0] == "intents") {
     this->HandleIntents(request, path, respond);
+  } else if (path[0] == "restrictions") {
+    respond(this->HandleRestrictions(request));
   } else {
     this->HandlePlans(request, path, respond);
   }
@@ -251,6 +254,48 @@
   return JsonResponse(ToJson(this->Compute(configuration, intent)));
 }
 
+HttpResponse OperatorApi::HandleRestrictions(const HttpRequest& request) const {
+  if (this->parts.restrictions == nullptr) {
+    RejectPath(request);
+  }
+  if (request.method == "POST") {
+    return this->Restrict(request.body);
+  }
+  if (request.method != "GET") {
+    RejectMethod(request);
+  }
+  boost::json::array list;
+  for (const Restriction& restriction :
+       this->parts.restrictions->List(this->parts.clock->Now())) {
+    list.push_back(ToJson(restriction));
+  }
+  return JsonResponse({{"restrictions", std::move(list)}});
+}
+
+HttpResponse OperatorApi::Restrict(const std::string& body) const {
+  Restriction restriction = ParseRestrictionRequest(body);
+  const auto configuration = this->InForce();
+  const TimePoint now = this->parts.clock->Now();
+  if (!configuration->domains.contains(restriction.domain)) {
+    throw Error(ErrorKind::kBadRequest,
+                "domain: \"" + restriction.domain + "\" is not configured");
+  }
+  if (!this->parts.knowledge->Stale(now)) {
+    throw Error(ErrorKind::kConflict,
+                "the platform's service can be reached; use an intent");
+  }
+  restriction.base_revision = configuration->revision;
+  if (!this->parts.restrictions->Take(restriction, now)) {
+    throw Error(ErrorKind::kConflict,
+                "the restriction is known or has ended, or there are " +
+                    std::to_string(kMaxRestrictions) + " others");
+  }
+  if (this->parts.push_restriction) {
+    this->parts.push_restriction(restriction);
+  }
+  return JsonResponse(ToJson(restriction));
+}
+
 HttpResponse OperatorApi::Status() const {
   const TimePoint now = this->parts.clock->Now();
   StatusReport report;
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -11,6 +11,7 @@
 #include "auburnyard/configuration_store.h"
 #include "auburnyard/knowledge.h"
 #include "auburnyard/planner.h"
+#include "auburnyard/restriction_table.h"
 #include "src/daemon/configuration_editor.h"
 #include "src/daemon/host_status.h"
 #include "src/net/http_server.h"
@@ -29,6 +30,10 @@
   /// Other hosts, from digests and ages of gossip; may be empty.
   std::function<std::vector<HostStatus>()> hosts;
   std::function<std::vector<StoreFault>()> faults;
+  /// Null: no restrictions are accepted.
+  RestrictionTable* restrictions = nullptr;
+  /// Sends a restriction to peers.
+  std::function<void(const Restriction&)> push_restriction;
   /// Further members of `/v1/status`; may be empty.
   std::function<boost::json::object()> more_status;
 };
@@ -54,6 +59,8 @@
   void HandlePlans(const HttpRequest& request,
                    const Segments& path,
                    const HttpResponder& respond);
+  HttpResponse HandleRestrictions(const HttpRequest& request) const;
+  HttpResponse Restrict(const std::string& body) const;
   void CreateIntent(const HttpRequest& request, const HttpResponder& respond);
   void Confirm(const std::string& plan_id, const HttpResponder& respond);
   HttpResponse ListOfIntents() const;
--- /dev/null
+++ b/test/restriction_table_test.cc
@@ -0,0 +1,74 @@
+#include "auburnyard/restriction_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace auburnyard {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+TimePoint At(int ms) {
+  return TimePoint(milliseconds(1'000'000 + ms));
+}
+
+Restriction Make(const std::string& id, std::uint64_t base, int remaining_ms) {
+  return {.id = id,
+          .author = "amy",
+          .domain = "north",
+          .base_revision = base,
+          .remaining = milliseconds(remaining_ms)};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(restriction_table_test)
+
+// Guards against two hosts that keep a restriction alive by exchanging it.
+BOOST_AUTO_TEST_CASE(ExchangeNeverExtends) {
+  constexpr int kTransitMs = 300;
+  RestrictionTable hosts[2];
+  BOOST_TEST(hosts[0].Take(Make("r", 5, 1000), At(0)));
+  int last_ms = 0;
+  for (int ms = 0; ms < 10'000; ms += kTransitMs) {
+    for (int from = 0; from < 2; ++from) {
+      for (const Restriction& sent : hosts[from].List(At(ms))) {
+        hosts[1 - from].Take(sent, At(ms + kTransitMs));
+        last_ms = ms;
+      }
+    }
+  }
+  BOOST_TEST(hosts[0].List(At(999)).empty());
+  BOOST_TEST(last_ms <= 1000 + kTransitMs);
+}
+
+// Guards against a restriction that outlives the configuration it was made for,
+// or that an old message brings back.
+BOOST_AUTO_TEST_CASE(HigherRevisionDropsIt) {
+  RestrictionTable table;
+  table.SetRevision(5);
+  BOOST_TEST(table.Take(Make("r", 5, 1000), At(0)));
+  table.SetRevision(5);
+  BOOST_TEST(table.Forbids("north", At(1)));
+  BOOST_TEST(!table.Forbids("south", At(1)));
+  table.SetRevision(6);
+  BOOST_TEST(!table.Forbids("north", At(1)));
+  BOOST_TEST(!table.Take(Make("r", 6, 1000), At(2)));
+  BOOST_TEST(!table.Take(Make("old", 5, 1000), At(2)));
+}
+
+// Guards against a restriction without a bound.
+BOOST_AUTO_TEST_CASE(TimeAndNumberAreBounded) {
+  RestrictionTable table;
+  BOOST_TEST(table.Take(Make("r", 1, 1'000'000'000), At(0)));
+  BOOST_TEST((table.List(At(0))[0].remaining <= kMaxRestriction));
+  BOOST_TEST(!table.Take(Make("s", 1, 0), At(0)));
+  for (std::size_t i = 1; i < kMaxRestrictions; ++i) {
+    BOOST_TEST(table.Take(Make(std::to_string(i), 1, 1000), At(0)));
+  }
+  BOOST_TEST(!table.Take(Make("one too many", 1, 1000), At(0)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
