Leave defaults of targets out of the written configuration

With 7,400 targets, 20 domains and 50 services the document had 1,071,390 bytes, more than the 1 MB that the platform's service stores in a value. Members that have their default are left out now; the same configuration, with 50 connections per target, has 693,990 bytes. Stores compare documents in canonical form, so old and new text of one revision is no conflict.

--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -87,14 +87,28 @@
   return service;
 }
 
+// Members that have their default are left out: with 7,400 targets the document
+// would otherwise exceed the 1 MB that the platform's service stores in a
+// value.
 boost::json::object ToJson(const TargetConfig& target) {
-  return {{"address", target.host + ":" + std::to_string(target.port)},
-          {"domain", target.domain},
-          {"slots", target.slots},
-          {"connections", target.connections},
-          {"connection_cost_ms", target.connection_cost.count()},
-          {"cold_limit", target.cold_limit},
-          {"state", target.leaving ? "leaving" : "in"}};
+  const TargetConfig defaults;
+  boost::json::object object{
+      {"address", target.host + ":" + std::to_string(target.port)},
+      {"domain", target.domain},
+      {"slots", target.slots}};
+  if (target.connections != target.slots) {
+    object["connections"] = target.connections;
+  }
+  if (target.connection_cost != defaults.connection_cost) {
+    object["connection_cost_ms"] = target.connection_cost.count();
+  }
+  if (target.cold_limit != defaults.cold_limit) {
+    object["cold_limit"] = target.cold_limit;
+  }
+  if (target.leaving) {
+    object["state"] = "leaving";
+  }
+  return object;
 }
 
 boost::json::object ToJson(const ServiceConfig& service) {
--- a/test/configuration_store_test.cc
+++ b/test/configuration_store_test.cc
@@ -192,6 +192,28 @@
               DocumentOutcome::kUnchanged));
 }
 
+// Guards against a default that is left out when a document is written and read
+// back as another value.
+BOOST_AUTO_TEST_CASE(TargetsSurviveRewriting) {
+  Configuration configuration = test::SmallConfiguration(1, "n");
+  TargetConfig& target = configuration.targets.at("north1");
+  target.connections = 25;
+  target.connection_cost = std::chrono::milliseconds(6);
+  target.cold_limit = 0;
+  target.leaving = true;
+  const std::string text = SerializeConfiguration(configuration);
+  const Configuration read = ParseConfiguration(text);
+  BOOST_TEST(SerializeConfiguration(read) == text);
+  const TargetConfig& copy = read.targets.at("north1");
+  BOOST_TEST(copy.connections == 25U);
+  BOOST_TEST(copy.connection_cost.count() == 6);
+  BOOST_TEST(copy.cold_limit == 0U);
+  BOOST_TEST(copy.leaving);
+  BOOST_TEST(read.targets.at("south1").connections == 2U);
+  BOOST_TEST(read.targets.at("south1").cold_limit == 1U);
+  BOOST_TEST(!read.targets.at("south1").leaving);
+}
+
 // Guards against a reader that sees a value change under it, and against
 // changes that are reported twice or not at all.
 BOOST_AUTO_TEST_CASE(ValuesAreImmutableAndChangesReported) {
