--- a/test/claims_test.cc
+++ b/test/claims_test.cc
@@ -102,6 +102,30 @@
   BOOST_TEST(writing.Written({StoreStatus::kOk, 1, ""}, later).empty());
 }
 
+// Guards against a claim that is granted by the late reply to an earlier write
+// which did not contain it.
+BOOST_AUTO_TEST_CASE(LateReplyBelongsToItsWrite) {
+  WritingTable writing;
+  ClaimTable& table = writing.table;
+  TimePoint now = kNow + std::chrono::milliseconds(400);
+  std::string other;
+  for (int i = 0; other.empty() || ClaimKeyOf(other) != writing.write.key;
+       ++i) {
+    other = IdentifierAt(kWall, std::to_string(i));
+  }
+  BOOST_TEST(
+      table.Claim(2, other, now + std::chrono::seconds(9), kWall, now).empty());
+  now = kNow + std::chrono::milliseconds(1020);  // past the store's time-out
+  table.OnTimer(now);
+  now += std::chrono::milliseconds(20);
+  const auto read = Only<ReadClaims>(table.OnTimer(now));
+  const auto second = Only<WriteClaims>(table.OnRead(
+      read.key, read.operation, {.status = StoreStatus::kOk}, now));
+  BOOST_TEST(writing.Written({StoreStatus::kOk, 1, ""}, now).empty());
+  VerdictOf<ClaimGranted>(table.OnWritten(second.key, second.operation,
+                                          {StoreStatus::kOk, 2, ""}, now));
+}
+
 // Guards against a dispatch by a process that was paused while its claim was
 // written.
 BOOST_AUTO_TEST_CASE(PausedClaimIsNotGranted) {
