Record notes, finish reasons and unsent attempts in decisions and traces

The query machine now states why it finished, reports decisions that cause no action, and tells failures apart in which no byte was sent. Records and replay did not carry these, and replay guessed empty budgets from its own hooks.

A note record holds such a reason. Replay takes it from the machine's hook, asks MayDispatch before each dispatch as the daemon does, and reads the further members of the policy and of the gates' limits. `explain` takes "complete" from the coverage, because a finish now always has a reason.

A write that was not sent is treated like one with a lost reply: one more read, no rule of its own.

--- a/include/auburnyard/decision.h
+++ b/include/auburnyard/decision.h
@@ -32,6 +32,7 @@
   kMapPublished,
   kLimitsSet,
   kAdmissionSet,
+  kNote,  ///< a decision that causes no action; the reason says which
   kFinished,
   kRefused,
 };
@@ -64,6 +65,7 @@
   kQueueLength,
   kDomainIn,
   kLeaving,
+  kSent,  ///< 0: dispatched by the gate, but no byte reached the network
 };
 
 std::string_view ToString(NumberName name);
--- a/include/auburnyard/decision_records.h
+++ b/include/auburnyard/decision_records.h
@@ -23,6 +23,10 @@
 DecisionRecord MakeRecord(std::string_view decision,
                           const QueryAction& action,
                           Duration time);
+/// A decision without an action, as given to QueryHooks::note.
+DecisionRecord MakeNoteRecord(std::string_view decision,
+                              Reason reason,
+                              Duration time);
 DecisionRecord MakeResultRecord(const AttemptId& id,
                                 std::string_view target,
                                 const PartialResult& result,
--- a/src/core/decision.cc
+++ b/src/core/decision.cc
@@ -11,22 +11,24 @@
 
 // In the order of the enumerators.
 constexpr std::array<std::string_view, kDecisionEventCount> kEventNames = {
-    "query_received", "attempt_started", "hedge",         "retry",
-    "restart",        "gate_enqueued",   "gate_rejected", "gate_aborted",
-    "dispatched",     "result",          "failure",       "cancelled",
-    "timer",          "caller_gone",     "map_published", "limits_set",
-    "admission_set",  "finished",        "refused",
+    "query_received", "attempt_started", "hedge",
+    "retry",          "restart",         "gate_enqueued",
+    "gate_rejected",  "gate_aborted",    "dispatched",
+    "result",         "failure",         "cancelled",
+    "timer",          "caller_gone",     "map_published",
+    "limits_set",     "admission_set",   "note",
+    "finished",       "refused",
 };
 
 constexpr std::size_t kNumberNameCount =
-    static_cast<std::size_t>(NumberName::kLeaving) + 1;
+    static_cast<std::size_t>(NumberName::kSent) + 1;
 
 constexpr std::array<std::string_view, kNumberNameCount> kNumberNames = {
     "begin",       "end",        "run",          "error_kind", "coverage_ppm",
     "deadline_ms", "priority",   "idempotent",   "queued",     "in_flight",
     "window",      "delay_us",   "load",         "draining",   "revision",
     "slots",       "cold_limit", "queue_length", "domain_in",  "leaving",
-};
+    "sent"};
 
 template <typename Enum, std::size_t Count>
 std::optional<Enum> ParseName(const std::array<std::string_view, Count>& names,
--- a/src/core/decision_records.cc
+++ b/src/core/decision_records.cc
@@ -42,9 +42,7 @@
 
 void Fill(DecisionRecord& record, const FinishWithAnswer& action) {
   record.event = DecisionEvent::kFinished;
-  if (action.answer.missing.empty()) {
-    record.reason = Reason::kCompleted;
-  }
+  record.reason = action.reason;
   record.snapshot = action.answer.snapshot;
   record.numbers.Add(NumberName::kCoveragePpm,
                      static_cast<std::uint64_t>(
@@ -53,6 +51,7 @@
 
 void Fill(DecisionRecord& record, const FinishWithRefusal& action) {
   record.event = DecisionEvent::kRefused;
+  record.reason = action.reason;
   record.numbers.Add(NumberName::kErrorKind,
                      static_cast<std::uint64_t>(action.refusal.kind));
   record.numbers.Add(NumberName::kRun,
@@ -146,6 +145,17 @@
   return record;
 }
 
+DecisionRecord MakeNoteRecord(std::string_view decision,
+                              Reason reason,
+                              Duration time) {
+  DecisionRecord record;
+  record.time = time;
+  record.decision = decision;
+  record.event = DecisionEvent::kNote;
+  record.reason = reason;
+  return record;
+}
+
 DecisionRecord MakeResultRecord(const AttemptId& id,
                                 std::string_view target,
                                 const PartialResult& result,
@@ -168,6 +178,9 @@
   record.event = DecisionEvent::kFailure;
   record.reason = failure.reason;
   record.numbers.Add(NumberName::kRun, static_cast<std::uint64_t>(failure.run));
+  if (!failure.sent) {
+    record.numbers.Add(NumberName::kSent, 0);
+  }
   return record;
 }
 
--- a/src/core/explain.cc
+++ b/src/core/explain.cc
@@ -14,6 +14,8 @@
 // attempt name only the attempt.
 using ShardOfAttempt = std::map<std::uint32_t, std::string>;
 
+constexpr std::uint64_t kFullCoveragePpm = 1'000'000;
+
 ShardOfAttempt CollectShards(std::span<const DecisionRecord> records) {
   ShardOfAttempt shards;
   for (const DecisionRecord& record : records) {
@@ -125,9 +127,8 @@
   }
 
   void Count(const DecisionRecord& record) {
-    const bool started = record.attempt != kNoAttempt;
-    this->retries += record.event == DecisionEvent::kRetry && started ? 1 : 0;
-    this->hedges += record.event == DecisionEvent::kHedge && started ? 1 : 0;
+    this->retries += record.event == DecisionEvent::kRetry ? 1 : 0;
+    this->hedges += record.event == DecisionEvent::kHedge ? 1 : 0;
     if (record.event == DecisionEvent::kGateRejected) {
       ++this->rejections;
     } else if (record.event == DecisionEvent::kRestart) {
@@ -135,7 +136,9 @@
       this->restarts += record.snapshot == this->restart_snapshot ? 0 : 1;
       this->restart_snapshot = record.snapshot;
     } else if (record.event == DecisionEvent::kFinished) {
-      this->outcome = record.reason ? "complete" : "partial";
+      const bool complete =
+          record.numbers.Find(NumberName::kCoveragePpm) == kFullCoveragePpm;
+      this->outcome = complete ? "complete" : "partial";
     } else if (record.event == DecisionEvent::kRefused) {
       this->outcome = "refused";
     } else if (record.event == DecisionEvent::kCallerGone) {
--- a/src/core/trace.cc
+++ b/src/core/trace.cc
@@ -26,21 +26,52 @@
       reader.Integer(name, 0, kMaxMs, static_cast<std::uint64_t>(fallback_ms)));
 }
 
+std::uint32_t Count(const detail::JsonReader& reader,
+                    std::string_view name,
+                    std::uint32_t fallback) {
+  return static_cast<std::uint32_t>(
+      reader.Integer(name, 0, kMaxTokens, fallback));
+}
+
 QueryPolicy ParsePolicy(const detail::JsonReader& reader) {
-  reader.AllowOnly(
-      {"hedge_delay_ms", "early_answer", "deadline_margin_ms", "max_restarts"});
+  reader.AllowOnly({"hedge_delay_ms", "early_answer", "deadline_margin_ms",
+                    "max_restarts", "max_hedges", "max_retries",
+                    "retry_delay_ms", "confirm_wait_ms", "min_coverage"});
   QueryPolicy policy;
   policy.hedge_delay = Milliseconds(reader, "hedge_delay_ms", Duration::zero());
   policy.early_answer = reader.Boolean("early_answer", policy.early_answer);
   policy.deadline_margin =
       Milliseconds(reader, "deadline_margin_ms", policy.deadline_margin);
-  policy.max_restarts = static_cast<std::uint32_t>(
-      reader.Integer("max_restarts", 0, kMaxTokens, policy.max_restarts));
+  policy.max_restarts = Count(reader, "max_restarts", policy.max_restarts);
+  policy.max_hedges = Count(reader, "max_hedges", policy.max_hedges);
+  policy.max_retries = Count(reader, "max_retries", policy.max_retries);
+  policy.retry_delay =
+      Milliseconds(reader, "retry_delay_ms", policy.retry_delay);
+  policy.confirm_wait =
+      Milliseconds(reader, "confirm_wait_ms", policy.confirm_wait);
+  policy.min_coverage = reader.Number("min_coverage", 0, 1, 0);
   return policy;
 }
 
+ShedBounds ParseShedBounds(const detail::JsonReader& reader) {
+  const boost::json::array& bounds = reader.Array("shed_ms");
+  ShedBounds parsed{};
+  if (bounds.size() != parsed.size()) {
+    throw Error(ErrorKind::kBadRequest,
+                reader.PathOf("shed_ms") + ": expected one number per class");
+  }
+  for (std::size_t i = 0; i < parsed.size(); ++i) {
+    const boost::json::value item = boost::json::object{{"ms", bounds[i]}};
+    const detail::JsonReader bound(item, reader.PathOf("shed_ms"),
+                                   ErrorKind::kBadRequest);
+    parsed.at(i) = std::chrono::milliseconds(bound.Integer("ms", 0, kMaxMs));
+  }
+  return parsed;
+}
+
 GateLimits ParseGate(const detail::JsonReader& reader) {
-  reader.AllowOnly({"slots", "cold_limit", "queue_length"});
+  reader.AllowOnly({"slots", "cold_limit", "queue_length",
+                    "zero_window_wait_ms", "drain_hold_ms", "shed_ms"});
   GateLimits limits;
   limits.slots =
       static_cast<std::uint32_t>(reader.Integer("slots", 0, kMaxLimit));
@@ -48,6 +79,12 @@
       static_cast<std::uint32_t>(reader.Integer("cold_limit", 0, kMaxLimit));
   limits.queue_length =
       reader.Integer("queue_length", 0, kMaxLimit, limits.queue_length);
+  limits.zero_window_wait =
+      Milliseconds(reader, "zero_window_wait_ms", limits.zero_window_wait);
+  limits.drain_hold = Milliseconds(reader, "drain_hold_ms", limits.drain_hold);
+  if (reader.Has("shed_ms")) {
+    limits.shed_bounds = ParseShedBounds(reader);
+  }
   return limits;
 }
 
@@ -115,7 +152,7 @@
   trace.lines.push_back({number, std::move(record)});
 }
 
-boost::json::object RequestToJson(const QueryRequest& request) {
+boost::json::object ToJson(const QueryRequest& request) {
   return {{"service", request.service},
           {"query", request.query},
           {"deadline_ms", request.deadline.count()},
@@ -125,6 +162,31 @@
           {"request_id", request.request_id}};
 }
 
+boost::json::object ToJson(const GateLimits& limits) {
+  boost::json::array shed;
+  for (const Duration bound : limits.shed_bounds) {
+    shed.emplace_back(ToMilliseconds(bound));
+  }
+  return {{"slots", limits.slots},
+          {"cold_limit", limits.cold_limit},
+          {"queue_length", limits.queue_length},
+          {"zero_window_wait_ms", ToMilliseconds(limits.zero_window_wait)},
+          {"drain_hold_ms", ToMilliseconds(limits.drain_hold)},
+          {"shed_ms", std::move(shed)}};
+}
+
+boost::json::object ToJson(const QueryPolicy& policy) {
+  return {{"hedge_delay_ms", ToMilliseconds(policy.hedge_delay)},
+          {"early_answer", policy.early_answer},
+          {"deadline_margin_ms", ToMilliseconds(policy.deadline_margin)},
+          {"max_restarts", policy.max_restarts},
+          {"max_hedges", policy.max_hedges},
+          {"max_retries", policy.max_retries},
+          {"retry_delay_ms", ToMilliseconds(policy.retry_delay)},
+          {"confirm_wait_ms", ToMilliseconds(policy.confirm_wait)},
+          {"min_coverage", policy.min_coverage}};
+}
+
 }  // namespace
 
 Trace ParseTrace(std::string_view text) {
@@ -157,22 +219,15 @@
   }
   boost::json::object gates;
   for (const auto& [target, limits] : header.gates) {
-    gates[target] = {{"slots", limits.slots},
-                     {"cold_limit", limits.cold_limit},
-                     {"queue_length", limits.queue_length}};
+    gates[target] = ToJson(limits);
   }
-  const auto& policy = header.policy;
   return boost::json::serialize(boost::json::object{
       {"trace", kTraceVersion},
       {"decision", header.decision},
       {"seed", header.seed},
       {"order", header.order == TraceOrder::kListed ? "listed" : "random"},
-      {"request", RequestToJson(header.request)},
-      {"policy",
-       {{"hedge_delay_ms", ToMilliseconds(policy.hedge_delay)},
-        {"early_answer", policy.early_answer},
-        {"deadline_margin_ms", ToMilliseconds(policy.deadline_margin)},
-        {"max_restarts", policy.max_restarts}}},
+      {"request", ToJson(header.request)},
+      {"policy", ToJson(header.policy)},
       {"budgets",
        {{"retry", header.retry_budget}, {"hedge", header.hedge_budget}}},
       {"maps", std::move(maps)},
--- a/src/core/trace_player.cc
+++ b/src/core/trace_player.cc
@@ -34,6 +34,10 @@
   return static_cast<RunState>(run);
 }
 
+bool WasSent(const DecisionRecord& input) {
+  return input.numbers.Find(NumberName::kSent).value_or(1) != 0;
+}
+
 Reason ReasonOf(const DecisionRecord& input) {
   if (!input.reason) {
     throw Error(ErrorKind::kBadRequest, "reason: required for this event");
@@ -109,7 +113,7 @@
   this->ReplyToGate(input, id);
   if (input.event == DecisionEvent::kFailure) {
     return this->Take(this->Machine().OnFailure(
-        id, {ReasonOf(input), RunOf(input)}, this->now));
+        id, {ReasonOf(input), RunOf(input), WasSent(input)}, this->now));
   }
   PartialResult result;
   result.snapshot = input.snapshot;
@@ -125,6 +129,9 @@
     return;
   }
   TargetGate& gate = this->GateOf(input.target);
+  if (!WasSent(input)) {
+    return this->Take(gate, gate.OnExchangeEnded(id, this->now));
+  }
   if (input.reason == Reason::kRetryConnectionFailed) {
     return this->Take(gate, gate.OnConnectionLost(id, this->now));
   }
@@ -219,16 +226,29 @@
 void TracePlayer::Take(TargetGate& gate,
                        const std::vector<GateAction>& actions) {
   for (const GateAction& action : actions) {
+    if (std::holds_alternative<DispatchAttempt>(action)) {
+      this->Dispatch(gate, action);
+      continue;
+    }
     this->records.push_back(MakeRecord(gate, action, this->time));
-    if (const auto* dispatch = std::get_if<DispatchAttempt>(&action)) {
-      this->Take(this->Machine().OnDispatched(dispatch->id, this->now));
-    } else if (const auto* reject = std::get_if<RejectAttempt>(&action)) {
+    if (const auto* reject = std::get_if<RejectAttempt>(&action)) {
       this->Take(this->Machine().OnFailure(
           reject->id, {reject->reason, RunState::kNotRun}, this->now));
     }
   }
 }
 
+void TracePlayer::Dispatch(TargetGate& gate, const GateAction& action) {
+  const AttemptId& id = std::get<DispatchAttempt>(action).id;
+  if (!this->Machine().MayDispatch(id)) {
+    // Withdrawn before a byte was sent.
+    this->Take(gate, gate.OnExchangeEnded(id, this->now));
+    return;
+  }
+  this->records.push_back(MakeRecord(gate, action, this->time));
+  this->Take(this->Machine().OnDispatched(id, this->now));
+}
+
 TargetGate& TracePlayer::GateOf(const std::string& target) {
   const auto found = this->gates.find(target);
   if (found == this->gates.end()) {
@@ -261,17 +281,15 @@
           [this](const Shard& shard, const std::vector<std::string>& tried) {
             return this->Order(shard, tried);
           },
-      .take_retry =
-          [this] {
-            return this->TakeToken(this->retry_tokens, DecisionEvent::kRetry,
-                                   Reason::kRetryBudgetEmpty);
-          },
-      .take_hedge =
-          [this] {
-            return this->TakeToken(this->hedge_tokens, DecisionEvent::kHedge,
-                                   Reason::kHedgeBudgetEmpty);
-          },
-      .newest_map = [this] { return this->newest; }};
+      .take_retry = [this] { return TakeToken(this->retry_tokens); },
+      .take_hedge = [this] { return TakeToken(this->hedge_tokens); },
+      .newest_map = [this] { return this->newest; },
+      .note_first_attempt = {},
+      .note =
+          [this](Reason reason) {
+            this->records.push_back(
+                MakeNoteRecord(this->header.decision, reason, this->time));
+          }};
 }
 
 std::vector<std::string> TracePlayer::Order(
@@ -293,20 +311,12 @@
   return order;
 }
 
-bool TracePlayer::TakeToken(std::uint32_t& tokens,
-                            DecisionEvent event,
-                            Reason reason) {
-  if (tokens > 0) {
-    --tokens;
-    return true;
+bool TracePlayer::TakeToken(std::uint32_t& tokens) {
+  if (tokens == 0) {
+    return false;
   }
-  DecisionRecord record;
-  record.time = this->time;
-  record.decision = this->header.decision;
-  record.event = event;
-  record.reason = reason;
-  this->records.push_back(std::move(record));
-  return false;
+  --tokens;
+  return true;
 }
 
 }  // namespace auburnyard::detail
--- a/src/core/trace_player.h
+++ b/src/core/trace_player.h
@@ -41,6 +41,7 @@
   void Apply(const FinishWithAnswer&) {}
   void Apply(const FinishWithRefusal&) {}
   void Take(TargetGate& gate, const std::vector<GateAction>& actions);
+  void Dispatch(TargetGate& gate, const GateAction& action);
   void ApplyPending();
 
   TargetGate& GateOf(const std::string& target);
@@ -49,7 +50,7 @@
   QueryHooks MakeHooks();
   std::vector<std::string> Order(const Shard& shard,
                                  const std::vector<std::string>& tried);
-  bool TakeToken(std::uint32_t& tokens, DecisionEvent event, Reason reason);
+  static bool TakeToken(std::uint32_t& tokens);
 
   const TraceHeader& header;
   std::mt19937_64 random;
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -40,7 +40,8 @@
              "Attempts and requests refused before dispatch, by reason.",
              this->rejections);
   AddReasons(this->all, "auburnyard_retries_total",
-             "Retries, hedges and restarts, and those not made, by reason.",
+             "Retries, hedges and restarts, those not made, and replies "
+             "discarded, by reason.",
              this->retries);
   AddReasons(this->all, "auburnyard_cancellations_total",
              "Attempts cancelled or aborted, by reason.", this->cancellations);
@@ -68,6 +69,7 @@
     case DecisionEvent::kRetry:
     case DecisionEvent::kHedge:
     case DecisionEvent::kRestart:
+    case DecisionEvent::kNote:
       return this->retries.at(reason)->Add();
     case DecisionEvent::kGateRejected:
     case DecisionEvent::kRefused:
--- a/test/decision_log_test.cc
+++ b/test/decision_log_test.cc
@@ -132,7 +132,7 @@
     result.reason = reason;
     return result;
   };
-  const std::vector<DecisionRecord> records = {
+  std::vector<DecisionRecord> records = {
       record(10, DecisionEvent::kAttemptStarted, 0, "a1", "k0",
              Reason::kFirstAttempt),
       record(11, DecisionEvent::kGateRejected, 0, "a1", "",
@@ -141,12 +141,14 @@
       record(15, DecisionEvent::kResult, 1, "a2", "", Reason::kCompleted),
       record(15, DecisionEvent::kFinished, kNoAttempt, "", "",
              Reason::kCompleted)};
+  records.back().numbers.Add(NumberName::kCoveragePpm, 1'000'000);
   const boost::json::object explanation = ExplainDecision(records);
   BOOST_TEST(explanation.at("outcome").as_string() == "complete");
   BOOST_TEST(FormatExplanation(explanation) ==
              "decision n1-7: complete\n"
              "retries 1, hedges 0, restarts 0, rejections 1\n"
-             "    +5.000 ms  finished reason=completed\n"
+             "    +5.000 ms  finished reason=completed "
+             "coverage_ppm=1000000\n"
              "shard k0: answered by a2\n"
              "    +0.000 ms  attempt_started reason=first_attempt target=a1 "
              "attempt=0\n"
