Add tcp-forwarder

Experiments need delays between domains, lost connections and partitions that heal, without packet filters. Each route copies bytes after a one-way delay per direction, can reset and refuse connections, and can silently stop delivering. Bytes held by a silent drop are delivered once it heals, as TCP would retransmit them.

Two faults were found by the tests before this commit: a lock was held while a new connection asked its route for delays, which blocked the process, and a connection that waited for a dropping route had nothing to keep it alive and was reset. The route now owns its open connections.

--- /dev/null
+++ b/util/tcp_forwarder/pipe.h
@@ -0,0 +1,62 @@
+#ifndef AUBURNYARD_UTIL_TCP_FORWARDER_PIPE_H_
+#define AUBURNYARD_UTIL_TCP_FORWARDER_PIPE_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "auburnyard/clock.h"
+
+namespace auburnyard::util {
+
+/// Copies one direction of a connection, each chunk after a delay. Runs on the
+/// strand of its sockets; its owner outlives its operations through `owner`.
+class Pipe {
+ public:
+  struct Hooks {
+    std::function<Duration()> delay;
+    std::function<bool()> is_dropping;
+    std::function<void()> on_end;  ///< the end of the stream was delivered
+    std::function<void()> on_error;
+  };
+
+  Pipe(boost::asio::ip::tcp::socket& source,
+       boost::asio::ip::tcp::socket& sink,
+       Hooks hooks);
+
+  void Start(const std::shared_ptr<void>& owner);
+  /// Continues after the route has stopped dropping.
+  void Resume(const std::shared_ptr<void>& owner);
+  void Cancel() { this->timer.cancel(); }
+
+ private:
+  struct Chunk {
+    TimePoint due;
+    std::vector<char> bytes;  ///< empty: end of the stream
+  };
+
+  void Read(const std::shared_ptr<void>& owner);
+  void OnRead(const std::shared_ptr<void>& owner,
+              boost::system::error_code error,
+              std::size_t bytes);
+  void WaitForChunk(const std::shared_ptr<void>& owner);
+  void WriteChunk(const std::shared_ptr<void>& owner);
+
+  boost::asio::ip::tcp::socket& source;
+  boost::asio::ip::tcp::socket& sink;
+  Hooks hooks;
+  boost::asio::steady_timer timer;
+  std::vector<char> buffer;
+  std::deque<Chunk> chunks;
+  bool reading = false;
+  bool delivering = false;
+  bool ended = false;
+};
+
+}  // namespace auburnyard::util
+
+#endif  // AUBURNYARD_UTIL_TCP_FORWARDER_PIPE_H_
