Answer queries that wait for a retry without outstanding attempts

Cause: the first query of the demo got no answer. All of its attempts for one shard had been rejected at a cold target, so the query waited for its retry timer, which held only a weak reference; the query was destroyed and the caller waited until its own time-out. Ruled out: a lost message of an owner (the front's log had no outstanding remote attempt) and the HTTP session. Change: the timer keeps the query alive; it ends with the query. The live host count no longer includes this host twice. Before: running_query_test failed (no outcome). After: it passes.

--- a/src/daemon/entry_host.cc
+++ b/src/daemon/entry_host.cc
@@ -145,7 +145,9 @@
 WatcherHooks EntryHost::MakeConfigurationHooks() {
   WatcherHooks hooks = MakeWatcherHooks(this->context, this->platform);
   hooks.rank = [this] { return this->membership->RankInDomain(); };
-  hooks.fleet_size = [this] { return this->membership->Hosts().size() + 1; };
+  hooks.fleet_size = [this] {
+    return this->membership->OtherHosts().size() + 1;
+  };
   hooks.push = [this](const DocumentMessage& document) {
     this->membership->PushDocument(
         {.digest = {.key = document.key,
@@ -293,7 +295,7 @@
 
 void EntryHost::OnMembershipChange() {
   std::vector<std::string> live = {this->settings.id};
-  for (const MemberStatus& host : this->membership->Hosts()) {
+  for (const MemberStatus& host : this->membership->OtherHosts()) {
     if (host.state == HostState::kLive) {
       live.push_back(host.record.id);
     } else {
@@ -314,7 +316,7 @@
 void EntryHost::OnGossipRound() {
   std::map<std::string, Duration> delays;
   std::vector<std::string> addresses;
-  for (const MemberStatus& host : this->membership->Hosts()) {
+  for (const MemberStatus& host : this->membership->OtherHosts()) {
     if (host.state != HostState::kLive) {
       continue;
     }
@@ -369,7 +371,7 @@
 
 std::vector<HostStatus> EntryHost::OtherHosts() {
   std::vector<HostStatus> hosts = this->gossip.Hosts();
-  for (const MemberStatus& host : this->membership->Hosts()) {
+  for (const MemberStatus& host : this->membership->OtherHosts()) {
     const bool known = std::any_of(hosts.begin(), hosts.end(),
                                    [&host](const HostStatus& entry) {
                                      return entry.id == host.record.id;
@@ -382,7 +384,7 @@
 }
 
 void EntryHost::AskAllHosts() {
-  for (const MemberStatus& host : this->membership->Hosts()) {
+  for (const MemberStatus& host : this->membership->OtherHosts()) {
     if (host.state != HostState::kLeft) {
       this->gossip.Ask(host.record.address);
     }
--- a/src/daemon/membership_service.cc
+++ b/src/daemon/membership_service.cc
@@ -365,11 +365,10 @@
       }));
 }
 
-std::vector<MemberStatus> MembershipService::Hosts() {
+std::vector<MemberStatus> MembershipService::OtherHosts() {
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.Now();
-  const HostRecord& self = this->membership.self();
-  std::vector<MemberStatus> hosts = {{self, self.state, Duration::zero()}};
+  std::vector<MemberStatus> hosts;
   for (const auto& [id, member] : this->membership.others()) {
     hosts.push_back({member.record, this->membership.StateOf(member, now),
                      member.round_trip});
@@ -378,7 +377,7 @@
 }
 
 std::size_t MembershipService::LiveCount() {
-  const std::vector<MemberStatus> hosts = this->Hosts();
+  const std::vector<MemberStatus> hosts = this->OtherHosts();
   return 1 + static_cast<std::size_t>(std::count_if(
                  hosts.begin(), hosts.end(), [](const MemberStatus& host) {
                    return host.state == HostState::kLive;
--- a/src/daemon/membership_service.h
+++ b/src/daemon/membership_service.h
@@ -65,7 +65,7 @@
   bool Admitted();
   /// Rank of this host among the live hosts of its domain, 0 for the lowest id.
   std::size_t RankInDomain();
-  std::vector<MemberStatus> Hosts();
+  std::vector<MemberStatus> OtherHosts();
   /// Live hosts, this one included.
   std::size_t LiveCount();
   HostState StateOf(std::string_view id);
--- a/src/daemon/running_query.cc
+++ b/src/daemon/running_query.cc
@@ -55,10 +55,11 @@
     return;
   }
   this->timer.expires_at(*next);
+  // The timer keeps the query alive: it may be all that is left while the query
+  // waits for a retry.
   this->timer.async_wait(
-      [weak = this->weak_from_this()](boost::system::error_code error) {
-        const std::shared_ptr<RunningQuery> self = weak.lock();
-        if (error || !self) {
+      [self = this->shared_from_this()](boost::system::error_code error) {
+        if (error) {
           return;
         }
         {
