--- a/src/core/membership_view.cc
+++ b/src/core/membership_view.cc
@@ -155,7 +155,11 @@
     }
     known = known || member->established;
   }
-  known = known || !this->members.empty();
+  // A host of another group answers with the members of this one that it knows.
+  known = known || std::any_of(this->members.begin(), this->members.end(),
+                               [](const auto& entry) {
+                                 return entry.second.round_trip.has_value();
+                               });
   if (known) {
     this->is_admitted = true;
     this->self_record.serving = true;
--- a/src/daemon/membership_service.cc
+++ b/src/daemon/membership_service.cc
@@ -322,6 +322,7 @@
       result.error.empty() && result.response.status == 200
           ? ParseHostList(result.response.body)
           : std::nullopt;
+  this->list_byte_count += result.response.body.size();
   Duration delay = kMinListInterval;
   if (hosts) {
     const std::lock_guard lock(this->mutex);
--- a/src/daemon/membership_service.h
+++ b/src/daemon/membership_service.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_SRC_DAEMON_MEMBERSHIP_SERVICE_H_
 #define AUBURNYARD_SRC_DAEMON_MEMBERSHIP_SERVICE_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -77,6 +78,8 @@
 
   const HostRecord& identity() const { return this->own_identity; }
   const PeerBusCounters& counters() const { return this->bus.counters(); }
+  /// Bytes of host lists read so far.
+  std::uint64_t list_bytes() const { return this->list_byte_count.load(); }
 
  private:
   void Receive(const proto::Envelope& envelope);
@@ -107,6 +110,7 @@
   boost::asio::steady_timer gossip_timer;
   boost::asio::steady_timer list_timer;
   std::shared_ptr<HttpConnection> list_connection;
+  std::atomic<std::uint64_t> list_byte_count{0};
   std::mutex mutex;  // protects the members below
   Membership membership;
   Ownership ownership;
