--- a/src/core/target_gate.cc
+++ b/src/core/target_gate.cc
@@ -290,7 +290,7 @@
 
 void TargetGate::TrackZeroWindow(TimePoint now,
                                  std::vector<GateAction>& actions) {
-  if (this->window() > 0) {
+  if (this->window() > 0 || this->waiting.size() == 0) {
     this->zero_since.reset();
     return;
   }
--- a/src/daemon/entry_host.cc
+++ b/src/daemon/entry_host.cc
@@ -392,8 +392,16 @@
 }
 
 bool EntryHost::Ready() {
-  return !this->draining.load() && this->store.configuration() != nullptr &&
-         this->membership->Admitted();
+  if (this->draining.load() || this->store.configuration() == nullptr ||
+      !this->membership->Admitted()) {
+    return false;
+  }
+  // A new host is ready once its group has granted it a share of some target.
+  // It stays ready when a later change of the group suspends its shares.
+  if (!this->serving.load() && this->gates.AnyOpen()) {
+    this->serving = true;
+  }
+  return this->serving.load();
 }
 
 void EntryHost::WaitForSignal() {
--- a/src/daemon/entry_host.h
+++ b/src/daemon/entry_host.h
@@ -78,6 +78,7 @@
   boost::asio::steady_timer shutdown_timer;
   TimePoint shutdown_deadline;
   std::atomic<bool> draining{false};
+  std::atomic<bool> serving{false};
   std::uint64_t start_nonce;
   Metrics metrics;
   DecisionRecorder recorder;
--- a/src/daemon/gate_table.cc
+++ b/src/daemon/gate_table.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/gate_table.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -104,6 +105,14 @@
   }
 }
 
+bool GateTable::AnyOpen() const {
+  const std::vector<std::shared_ptr<GateRunner>> all = this->Snapshot();
+  return all.empty() ||
+         std::any_of(all.begin(), all.end(), [this](const auto& gate) {
+           return this->hooks.limits(gate->config()).slots > 0;
+         });
+}
+
 std::shared_ptr<GateRunner> GateTable::Find(const std::string& target) const {
   const std::shared_lock lock(this->mutex);
   const auto found = this->gates.find(target);
--- a/src/daemon/gate_table.h
+++ b/src/daemon/gate_table.h
@@ -40,6 +40,8 @@
   void Enqueue(const SubRequest& request, SubRequestObserver observer);
   void Cancel(const std::string& target, const AttemptId& id, Reason reason);
 
+  /// Whether any gate has a share of its target, or there are no gates.
+  bool AnyOpen() const;
   std::shared_ptr<GateRunner> Find(const std::string& target) const;
   void ForEach(const std::function<void(const GateRunner&)>& visit) const;
 
--- a/util/membership_bench/bench_host.cc
+++ b/util/membership_bench/bench_host.cc
@@ -94,10 +94,7 @@
   cost.sent_bytes_per_s = rate(first.sent_bytes, last.sent_bytes);
   cost.received_bytes_per_s = rate(first.received_bytes, last.received_bytes);
   cost.messages_per_s = rate(first.messages, last.messages);
-  const std::vector<HostStatus> hosts = service->Hosts();
-  cost.live_hosts = static_cast<std::uint64_t>(std::count_if(
-      hosts.begin(), hosts.end(),
-      [](const HostStatus& host) { return host.state == HostState::kLive; }));
+  cost.live_hosts = service->LiveCount();
   cost.admitted = service->Admitted();
   service->Stop();
   context.stop();
