Close three gaps in the admission of entry hosts

Every unheard member now ends the service of an omitted host, a pause discards what was known, and a host waits for the removal delay (5 s) unless a serving member has answered it. A fleet that starts as a whole therefore serves after about 6 s.

--- a/include/auburnyard/membership.h
+++ b/include/auburnyard/membership.h
@@ -148,7 +148,8 @@
   std::uint32_t next_part = 0;
   std::uint32_t self_gossip_left = 0;
   std::uint64_t change_count = 0;
-  bool list_seen = false;
+  std::optional<TimePoint> listed_since;
+  bool fleet_known = false;   // a host or the host list answered
   bool self_omitted = false;  // by the last host list
   bool is_admitted = false;
   bool has_left = false;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -135,6 +135,9 @@
     return;
   }
   member->round_trip = now - message.sent;
+  // A host of another group answers with the members of this one that it knows.
+  this->fleet_known =
+      this->fleet_known || message.sent >= this->admission_reset;
   this->Refresh(now);
   if (this->InGroup(member->record)) {
     this->StoreAck(*member, message, now);
--- a/src/core/membership_view.cc
+++ b/src/core/membership_view.cc
@@ -148,19 +148,22 @@
       !this->Settled(now) || !this->listed_contacts.empty()) {
     return;
   }
-  bool known = this->list_seen || !this->expects_peers;
+  bool vouched = false;
   for (const Member* member : this->group_members) {
-    if (member->record.state != HostState::kLeft && !member->established) {
+    if (member->record.state == HostState::kLeft) {
+      continue;
+    }
+    if (!member->established) {
       return;
     }
-    known = known || member->established;
+    vouched = vouched || member->granting;
   }
-  // A host of another group answers with the members of this one that it knows.
-  known = known || std::any_of(this->members.begin(), this->members.end(),
-                               [](const auto& entry) {
-                                 return entry.second.round_trip.has_value();
-                               });
-  if (known) {
+  // Without a serving member that knows the group, a host waits until others
+  // that it does not know of have read its name in the host list.
+  const TimePoint since = std::max(this->admission_reset,
+                                   this->listed_since.value_or(this->started));
+  const bool waited = this->fleet_known && now - since >= this->removal_delay;
+  if (vouched || waited || !this->expects_peers) {
     this->is_admitted = true;
     this->self_record.serving = true;
     this->ChangeSelf();
@@ -175,8 +178,8 @@
     // heard this host; a cut may stop one direction only.
     const bool unheard =
         !member.granted || *member.granted + this->times.suspect_after <= now;
-    if (this->InGroup(member.record) && member.established &&
-        (!only_silent || unheard)) {
+    if (this->InGroup(member.record) &&
+        member.record.state != HostState::kLeft && (!only_silent || unheard)) {
       member.established = false;
       any = true;
     }
@@ -184,7 +187,12 @@
   if (!any) {
     return;
   }
-  this->admission_reset = only_silent ? this->admission_reset : now;
+  if (!only_silent) {
+    // What was known before a pause no longer counts.
+    this->admission_reset = now;
+    this->fleet_known = false;
+    this->listed_since.reset();
+  }
   if (this->is_admitted) {
     this->is_admitted = false;
     this->self_record.serving = false;
@@ -232,7 +240,7 @@
 void Membership::OnHostList(std::span<const ListedHost> hosts,
                             Duration interval,
                             TimePoint now) {
-  this->list_seen = true;
+  this->fleet_known = true;
   // A listed host must read at least once that it is omitted before others
   // remove it; 2.5 intervals leave room for one failed read.
   this->removal_delay = std::max(this->times.gone_delay, interval * 5 / 2);
@@ -249,6 +257,11 @@
     }
   }
   this->self_omitted = !names.contains(this->self_record.id);
+  if (this->self_omitted) {
+    this->listed_since.reset();
+  } else if (!this->listed_since) {
+    this->listed_since = now;
+  }
   this->UpdateContacts(hosts, now);
   this->RemoveOmitted(now);
   this->Refresh(now);
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -36,10 +36,12 @@
 //    knows have answered it since its start (Membership::UpdateAdmission), each
 //    with a member list that it merged. So of two hosts that a common member
 //    answered, the later one learns of the earlier one, and waits for its
-//    answer. A host uses a granted token only if the granter's member list
-//    equals its own. A departure enlarges tokens only `promise_hold` after the
-//    list changed, because a token is the smallest of all binding positions; by
-//    then grants of the departed host have expired everywhere.
+//    answer. If no member that serves has answered, it also waits until hosts
+//    it does not know of have read its name in the host list. A host uses a
+//    granted token only if the granter's member list equals its own. A
+//    departure enlarges tokens only `promise_hold` after the list changed,
+//    because a token is the smallest of all binding positions; by then grants
+//    of the departed host have expired everywhere.
 // 3. A member is removed only if its process has ended or has stopped using
 //    tokens: its leave message, a later nonce under its id, or omission from
 //    the host list for `gone_delay` while it is suspected and no member reports
--- a/test/membership_fleet.h
+++ b/test/membership_fleet.h
@@ -200,7 +200,7 @@
           const SlotShare share = this->ShareOf(h, target);
           sum += share.slots;
           parts += " " + IdOf(h) + "=" + std::to_string(share.slots) + "(" +
-                   std::string(ToString(share.reason)) + ")";
+                   std::string(ToString(share.reason)) + ")" + this->ViewOf(h);
         }
       }
       if (sum > Limit(target) && !this->limit_exceeded) {
@@ -214,6 +214,20 @@
     }
   }
 
+  std::string ViewOf(std::size_t h) const {
+    const Membership& membership = *this->hosts[h].membership;
+    std::string text = "[";
+    for (const auto& member : membership.positions().front().view.members()) {
+      text += member.id + "/" + std::to_string(member.nonce) + " ";
+    }
+    for (const auto& [id, member] : membership.others()) {
+      text += id + ":" + std::to_string(static_cast<int>(member.record.state)) +
+              std::to_string(static_cast<int>(member.record.departure)) +
+              (member.established ? "e" : "") + " ";
+    }
+    return text + "]";
+  }
+
   void Send(std::size_t from, std::vector<OutgoingMessage> messages) {
     const HostRecord& self = this->hosts[from].membership->self();
     for (OutgoingMessage& outgoing : messages) {
--- a/test/membership_test.cc
+++ b/test/membership_test.cc
@@ -29,6 +29,7 @@
 constexpr int kHistories = 200;
 // A broken variant ends the search at its first failure.
 constexpr int kBrokenHistories = 2'000;
+constexpr int kStartSteps = 160;
 constexpr int kSettleSteps = 400;
 
 // CI uses the fixed values; longer searches set these variables.
@@ -67,7 +68,7 @@
         const std::vector<FleetEvent> events = *Histories();
         MembershipFleet fleet(size, seed, timing);
         RC_LOG() << Describe(events);
-        fleet.Run(80);
+        fleet.Run(kStartSteps);
         property(fleet, events);
       },
       rc::detail::TestMetadata{}, params);
--- a/util/membership_bench/bench_host.h
+++ b/util/membership_bench/bench_host.h
@@ -16,7 +16,7 @@
   std::uint16_t base_port = 21'000;
   std::size_t domains = 3;
   std::size_t group_size = 8;
-  std::chrono::seconds warm_up{5};
+  std::chrono::seconds warm_up{20};
   std::chrono::seconds measured{10};
   std::string host_list;
 };
--- a/util/membership_bench/main.cc
+++ b/util/membership_bench/main.cc
@@ -27,7 +27,7 @@
 struct Options {
   int host = -1;
   int base_port = 21'000;
-  int warm_up = 5;
+  int warm_up = 20;
   int measured = 10;
   char* sizes = nullptr;
   char* host_list = nullptr;
