--- a/test/membership_test.cc
+++ b/test/membership_test.cc
@@ -153,6 +153,23 @@
   BOOST_TEST(Fails(CheckHistories(SumOfSharesHolds, broken, kBrokenHistories)));
 }
 
+// Guards against a successor that uses the whole limit while work of the host
+// that left still runs at the target.
+BOOST_AUTO_TEST_CASE(WorkOfThePreviousOwnerIsSubtracted) {
+  MembershipFleet fleet(2, kSeed, MembershipTiming{});
+  fleet.Run(kStartSteps);
+  const std::size_t owner = fleet.OwnerOf(0, 0) == "host-0" ? 0 : 1;
+  const std::uint32_t limit = MembershipFleet::Limit(0);
+  BOOST_TEST(fleet.ShareOf(owner, 0).slots == limit);
+  fleet.At(owner).SetInFlight({{MembershipFleet::Target(0), 1}});
+  fleet.Apply({FleetEvent::Kind::kLeave, owner, 0, 60});
+  const SlotShare share = fleet.ShareOf(1 - owner, 0);
+  BOOST_TEST(share.slots == limit - 1);
+  BOOST_TEST((share.reason == ShareReason::kHandover));
+  fleet.Run(60);
+  BOOST_TEST(fleet.ShareOf(1 - owner, 0).slots == limit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
