--- a/include/auburnyard/error.h
+++ b/include/auburnyard/error.h
@@ -37,6 +37,8 @@
   kConnection,
   kProtocol,
   kInternal,
+  kAnswerTooLarge,
+  kCheckFailed,
 };
 
 /// Whether the work of a refused request was executed.
--- a/src/daemon/membership_service.h
+++ b/src/daemon/membership_service.h
@@ -26,7 +26,7 @@
 namespace auburnyard {
 
 /// A host as `status` reports it.
-struct HostStatus {
+struct MemberStatus {
   HostRecord record;
   HostState state = HostState::kLive;
   std::optional<Duration> round_trip;
@@ -66,7 +66,9 @@
   bool Admitted();
   /// Rank of this host among the live hosts of its domain, 0 for the lowest id.
   std::size_t RankInDomain();
-  std::vector<HostStatus> Hosts();
+  std::vector<MemberStatus> OtherHosts();
+  /// Live hosts, this one included.
+  std::size_t LiveCount();
   HostState StateOf(std::string_view id);
   /// A host did not answer in time.
   void ReportUnreachable(std::string_view id);
@@ -94,7 +96,7 @@
   void ReadHostList();
   void OnHostList(const ExchangeResult& result);
   void SendAll(const std::vector<OutgoingMessage>& messages,
-               const std::vector<DocumentDigest>& digests);
+               const std::vector<PeerDigest>& digests);
   void UpdateInFlight();
   void ReportChange();
   Duration Jitter(Duration range);
