--- a/include/auburnyard/configuration_store.h
+++ b/include/auburnyard/configuration_store.h
@@ -30,11 +30,11 @@
 };
 
 /// Revision in force of one document, as exchanged between hosts.
-struct DocumentDigest {
+struct DocumentRevision {
   std::string key;
   std::uint64_t revision = 0;
 
-  auto operator<=>(const DocumentDigest&) const = default;
+  auto operator<=>(const DocumentRevision&) const = default;
 };
 
 struct ConfigurationCounters {
@@ -51,7 +51,7 @@
  public:
   using CatalogTable =
       std::map<std::string, std::shared_ptr<const ShardMap>, std::less<>>;
-  using ChangeCallback = std::function<void(const DocumentDigest&)>;
+  using ChangeCallback = std::function<void(const DocumentRevision&)>;
 
   /// Takes the document if its revision is higher than the one in force. Throws
   /// Error(kBadRequest), and changes nothing, for a malformed document or an
@@ -64,7 +64,7 @@
   std::shared_ptr<const ShardMap> Catalog(std::string_view service) const;
   CatalogTable Catalogs() const;
 
-  std::vector<DocumentDigest> Digests() const;
+  std::vector<DocumentRevision> Digests() const;
   /// Hash over all digests. Equal on hosts with the same revisions in force, so
   /// a gossip round sends the digests only if the hashes differ.
   std::uint64_t DigestHash() const;
@@ -74,7 +74,7 @@
   std::string DocumentText(std::string_view key) const;
   /// Keys of the documents in force that are newer than `theirs`.
   std::vector<std::string> NewerThan(
-      std::span<const DocumentDigest> theirs) const;
+      std::span<const DocumentRevision> theirs) const;
 
   /// Adds a function that runs after each change, without a lock held.
   /// Concurrent changes may be reported in any order, so it reads the value in
--- a/src/core/configuration_store.cc
+++ b/src/core/configuration_store.cc
@@ -82,7 +82,7 @@
     ++this->counts.malformed;
     throw;
   }
-  const DocumentDigest digest{std::string(key), parsed.held.revision};
+  const DocumentRevision digest{std::string(key), parsed.held.revision};
   std::vector<ChangeCallback> notify;
   {
     const std::lock_guard lock(this->mutex);
@@ -115,9 +115,9 @@
   return this->catalogs;
 }
 
-std::vector<DocumentDigest> ConfigurationStore::Digests() const {
+std::vector<DocumentRevision> ConfigurationStore::Digests() const {
   const std::lock_guard lock(this->mutex);
-  std::vector<DocumentDigest> digests;
+  std::vector<DocumentRevision> digests;
   for (const auto& [key, held] : this->documents) {
     digests.push_back({key, held.revision});
   }
@@ -126,7 +126,7 @@
 
 std::uint64_t ConfigurationStore::DigestHash() const {
   std::string text;
-  for (const DocumentDigest& digest : this->Digests()) {
+  for (const DocumentRevision& digest : this->Digests()) {
     text += digest.key + "\n" + std::to_string(digest.revision) + "\n";
   }
   return detail::FnvHash(text);
@@ -145,9 +145,9 @@
 }
 
 std::vector<std::string> ConfigurationStore::NewerThan(
-    std::span<const DocumentDigest> theirs) const {
+    std::span<const DocumentRevision> theirs) const {
   std::map<std::string_view, std::uint64_t> known;
-  for (const DocumentDigest& digest : theirs) {
+  for (const DocumentRevision& digest : theirs) {
     known[digest.key] = digest.revision;
   }
   const std::lock_guard lock(this->mutex);
--- a/src/daemon/configuration_watcher.cc
+++ b/src/daemon/configuration_watcher.cc
@@ -51,7 +51,7 @@
 
 void ConfigurationWatcher::Start() {
   this->store.OnChange(
-      [watcher = this->weak_from_this()](const DocumentDigest& digest) {
+      [watcher = this->weak_from_this()](const DocumentRevision& digest) {
         const auto self = watcher.lock();
         if (self && digest.key == kConfigurationKey) {
           self->knowledge.SetRevision(digest.revision);
@@ -107,7 +107,7 @@
 
 void ConfigurationWatcher::Send(std::size_t index, bool watching) {
   WatchCall call{.feed = index, .sent_at = this->clock.Now()};
-  for (const DocumentDigest& digest : this->store.Digests()) {
+  for (const DocumentRevision& digest : this->store.Digests()) {
     call.in_force.emplace(digest.key, digest.revision);
   }
   {
@@ -280,7 +280,7 @@
 }
 
 std::vector<DocumentMessage> ConfigurationWatcher::DocumentsFor(
-    std::span<const DocumentDigest> theirs) const {
+    std::span<const DocumentRevision> theirs) const {
   std::vector<DocumentMessage> documents;
   for (const std::string& key : this->store.NewerThan(theirs)) {
     if (documents.size() == kDocumentsPerExchange) {
--- a/src/daemon/configuration_watcher.h
+++ b/src/daemon/configuration_watcher.h
@@ -51,7 +51,7 @@
   void OnPeerDocument(const DocumentMessage& message);
   /// Documents that a peer with these digests lacks, a bounded number.
   std::vector<DocumentMessage> DocumentsFor(
-      std::span<const DocumentDigest> theirs) const;
+      std::span<const DocumentRevision> theirs) const;
 
   std::vector<StoreFault> Faults() const { return this->faults.List(); }
   std::array<std::uint64_t, kStoreFaultKindCount> fault_counters() const {
--- a/src/daemon/host_status.cc
+++ b/src/daemon/host_report.cc
@@ -1,4 +1,4 @@
-#include "src/daemon/host_status.h"
+#include "src/daemon/host_report.h"
 
 #include <boost/json/array.hpp>
 
@@ -25,7 +25,7 @@
   boost::json::array hosts;
   boost::json::array not_confirmed;
   boost::json::array stale;
-  for (const HostStatus& host : report.hosts) {
+  for (const HostReport& host : report.hosts) {
     hosts.push_back({{"id", host.id},
                      {"domain", host.domain},
                      {"revision", host.revision},
--- a/src/daemon/host_status.h
+++ b/src/daemon/host_report.h
@@ -1,5 +1,5 @@
-#ifndef AUBURNYARD_SRC_DAEMON_HOST_STATUS_H_
-#define AUBURNYARD_SRC_DAEMON_HOST_STATUS_H_
+#ifndef AUBURNYARD_SRC_DAEMON_HOST_REPORT_H_
+#define AUBURNYARD_SRC_DAEMON_HOST_REPORT_H_
 
 #include <cstdint>
 #include <optional>
@@ -14,7 +14,7 @@
 namespace auburnyard {
 
 /// What is known about one entry host.
-struct HostStatus {
+struct HostReport {
   std::string id;
   std::string domain;
   std::uint64_t revision = 0;  ///< in force there, as last reported; 0: unknown
@@ -25,7 +25,7 @@
   std::uint64_t revision = 0;  ///< in force on this host
   std::uint64_t newest_revision = 0;
   std::optional<Duration> age;
-  std::vector<HostStatus> hosts;
+  std::vector<HostReport> hosts;
   std::vector<StoreFault> faults;
 };
 
@@ -35,4 +35,4 @@
 
 }  // namespace auburnyard
 
-#endif  // AUBURNYARD_SRC_DAEMON_HOST_STATUS_H_
+#endif  // AUBURNYARD_SRC_DAEMON_HOST_REPORT_H_
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -305,7 +305,7 @@
   if (this->parts.hosts) {
     report.hosts = this->parts.hosts();
   }
-  for (const HostStatus& host : report.hosts) {
+  for (const HostReport& host : report.hosts) {
     report.newest_revision = std::max(report.newest_revision, host.revision);
   }
   if (this->parts.faults) {
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -13,7 +13,7 @@
 #include "auburnyard/planner.h"
 #include "auburnyard/restriction_table.h"
 #include "src/daemon/configuration_editor.h"
-#include "src/daemon/host_status.h"
+#include "src/daemon/host_report.h"
 #include "src/net/http_server.h"
 
 namespace auburnyard {
@@ -28,7 +28,7 @@
   /// Known load of services; may be empty.
   std::function<std::map<std::string, ServiceLoad, std::less<>>()> load;
   /// Other hosts, from digests and ages of gossip; may be empty.
-  std::function<std::vector<HostStatus>()> hosts;
+  std::function<std::vector<HostReport>()> hosts;
   std::function<std::vector<StoreFault>()> faults;
   /// Null: no restrictions are accepted.
   RestrictionTable* restrictions = nullptr;
--- a/test/configuration_store_test.cc
+++ b/test/configuration_store_test.cc
@@ -218,8 +218,8 @@
 // changes that are reported twice or not at all.
 BOOST_AUTO_TEST_CASE(ValuesAreImmutableAndChangesReported) {
   ConfigurationStore store;
-  std::vector<DocumentDigest> changes;
-  store.OnChange([&changes, &store](const DocumentDigest& digest) {
+  std::vector<DocumentRevision> changes;
+  store.OnChange([&changes, &store](const DocumentRevision& digest) {
     BOOST_TEST(store.RevisionOf(digest.key) == digest.revision);
     changes.push_back(digest);
   });
--- a/test/configuration_watcher_test.cc
+++ b/test/configuration_watcher_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "src/daemon/configuration_gossip.h"
 #include "test/configuration_fixture.h"
 #include "test/virtual_time.h"
 
@@ -313,6 +314,31 @@
   BOOST_TEST(20 * 2 * outage + 1160 * other_outage[1] <= 300.0);
 }
 
+// Guards against two hosts that stay apart although they exchange digests, and
+// against an age that is lost or made younger on the way.
+BOOST_AUTO_TEST_CASE(PeersLearnByDigests) {
+  Host watching;
+  watching.watcher->Start();
+  watching.time.Run(seconds(2));
+  Host other(2, 1200);
+  ConfigurationGossip source(watching.store, watching.knowledge,
+                             watching.time.clock, watching.watcher);
+  ConfigurationGossip sink(other.store, other.knowledge, other.time.clock,
+                           other.watcher);
+  other.watcher->Start();
+  BOOST_TEST(sink.OnDigests("a", source.Digests()).empty());
+  const auto documents = source.OnDigests("b", sink.Digests());
+  BOOST_REQUIRE(documents.size() == 1U);
+  sink.OnDocument(documents[0]);
+  BOOST_TEST(other.revision() == 5U);
+  BOOST_TEST((*other.knowledge.Age(other.time.clock.Now()) >=
+              *watching.knowledge.Age(watching.time.clock.Now())));
+  BOOST_TEST(!other.stale());
+  BOOST_TEST(sink.Peers().at("a").revision == 5U);
+  BOOST_TEST(source.OnDigests("b", sink.Digests()).empty());
+  BOOST_TEST(source.Peers().at("b").revision == 5U);
+}
+
 // Guards against bad documents of peers that stop the host or go unseen.
 BOOST_AUTO_TEST_CASE(BadPeerDocumentsChangeNothing) {
   Host host;
--- a/test/knowledge_test.cc
+++ b/test/knowledge_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "auburnyard/pause_guard.h"
+
 namespace auburnyard {
 
 using std::chrono::milliseconds;
@@ -56,6 +58,22 @@
   BOOST_TEST((knowledge.Report(clock.Now())->age == milliseconds(10'020)));
 }
 
+// Guards against a message that arrived during a pause and is dated by the time
+// at which it is read, before or after the first tick that follows.
+BOOST_AUTO_TEST_CASE(MessagesOfAPauseAreDatedBeforeIt) {
+  PauseGuard guard(At(0));
+  guard.Tick(At(100));
+  BOOST_TEST((guard.SentAfter(At(150)) == At(100)));
+  BOOST_TEST((guard.SentAfter(At(10'100)) == At(100)));
+  guard.Tick(At(10'110));
+  guard.Tick(At(10'210));
+  BOOST_TEST((guard.SentAfter(At(10'220)) == At(100)));
+  for (int ms = 10'310; ms <= 11'210; ms += 100) {
+    guard.Tick(At(ms));
+  }
+  BOOST_TEST((guard.SentAfter(At(11'230)) == At(11'210)));
+}
+
 // Guards against a stale host that does what only a current one may do.
 BOOST_AUTO_TEST_CASE(PermissionsOfAStaleHost) {
   struct Case {
--- a/test/operator_api_test.cc
+++ b/test/operator_api_test.cc
@@ -73,7 +73,7 @@
   std::string value;
   std::uint64_t version = 1;
   ConfigurationEditor editor{this->Hooks(), 1};
-  std::vector<HostStatus> hosts;
+  std::vector<HostReport> hosts;
   RestrictionTable restrictions;
   std::shared_ptr<OperatorApi> api = std::make_shared<OperatorApi>(
       OperatorApiParts{.operator_key = kKey,
