Keep a cold target at its limit until it is warm

The gate raised its window after the first success, while the target stays cold for 10 completions and becomes 20 times slower with excess work. A host that lost and regained a target also sent as to a warm one. Ruled out: a lost wake-up of the queue (the second attempt was dispatched at once). Change: warm_after in the target's configuration (default 10); the window stays at the cold limit for that many successes. A target that another host used starts cold; a share that is only suspended while the group agrees on a view keeps what was proven. Before: cold_start_test failed.

--- a/include/auburnyard/configuration.h
+++ b/include/auburnyard/configuration.h
@@ -45,6 +45,7 @@
   std::uint32_t slots = 1;
   std::uint32_t connections = 1;
   std::uint32_t cold_limit = 1;
+  std::uint32_t warm_after = 10;  ///< completed requests until it is warm
   std::chrono::milliseconds connection_cost{0};
   bool leaving = false;
 };
--- a/include/auburnyard/target_gate.h
+++ b/include/auburnyard/target_gate.h
@@ -26,6 +26,10 @@
 struct GateLimits {
   std::uint32_t slots = 1;
   std::uint32_t cold_limit = 1;
+  /// Another host uses the target, so its state is not known here any more.
+  bool foreign = false;
+  /// Successes after a start before the window grows.
+  std::uint32_t warm_after = 0;
   std::size_t queue_length = 256;
   std::size_t queue_bytes = 4 * 1024 * 1024;  ///< sum of GateRequest::bytes
   /// Queued work waits this long for a window of zero to reopen.
--- a/src/core/cold_start.cc
+++ b/src/core/cold_start.cc
@@ -14,6 +14,9 @@
   if (epoch != this->current_epoch || !this->Cold(slots)) {
     return;
   }
+  if (++this->epoch_successes <= this->warm_after) {
+    return;
+  }
   if (++this->successes >= this->proven) {
     this->successes = 0;
     ++this->proven;
@@ -23,6 +26,7 @@
 void ColdStart::Drop(std::uint32_t limit) {
   this->proven = limit;
   this->successes = 0;
+  this->epoch_successes = 0;
   ++this->current_epoch;
 }
 
--- a/src/core/configuration.cc
+++ b/src/core/configuration.cc
@@ -16,6 +16,7 @@
     "urgent", "normal", "archive"};
 constexpr std::uint64_t kMaxRevision = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint32_t kMaxSlots = 1024;
+constexpr std::uint32_t kMaxWarmAfter = 1'000'000;
 constexpr std::uint32_t kMaxConnections = 65'535;
 constexpr std::uint32_t kMaxDelayMs = 60'000;
 
@@ -37,7 +38,7 @@
 
 TargetConfig ParseTarget(std::string id, const detail::JsonReader& reader) {
   reader.AllowOnly({"address", "domain", "slots", "connections",
-                    "connection_cost_ms", "cold_limit", "state"});
+                    "connection_cost_ms", "cold_limit", "warm_after", "state"});
   TargetConfig target;
   target.id = std::move(id);
   const std::string address = reader.String("address");
@@ -60,6 +61,8 @@
       reader.Integer("connections", 1, kMaxConnections, target.slots));
   target.cold_limit =
       static_cast<std::uint32_t>(reader.Integer("cold_limit", 0, kMaxSlots, 1));
+  target.warm_after = static_cast<std::uint32_t>(
+      reader.Integer("warm_after", 0, kMaxWarmAfter, target.warm_after));
   target.connection_cost = std::chrono::milliseconds(
       reader.Integer("connection_cost_ms", 0, kMaxDelayMs, 0));
   target.leaving = !ParseInState(reader, "leaving");
@@ -102,6 +105,9 @@
   if (target.connection_cost != defaults.connection_cost) {
     object["connection_cost_ms"] = target.connection_cost.count();
   }
+  if (target.warm_after != defaults.warm_after) {
+    object["warm_after"] = target.warm_after;
+  }
   if (target.cold_limit != defaults.cold_limit) {
     object["cold_limit"] = target.cold_limit;
   }
--- a/src/core/target_gate.cc
+++ b/src/core/target_gate.cc
@@ -21,7 +21,9 @@
       cold_start(gate_limits.cold_limit),
       waiting(gate_limits.lowest_class_per_mille),
       shedder(gate_limits.shed_bounds),
-      service_time(kServiceTimeWindow) {}
+      service_time(kServiceTimeWindow) {
+  this->cold_start.SetWarmAfter(gate_limits.warm_after);
+}
 
 std::uint32_t TargetGate::window() const {
   return this->cold_start.Window(this->limits.slots);
@@ -197,6 +199,11 @@
 
 std::vector<GateAction> TargetGate::SetLimits(GateLimits gate_limits,
                                               TimePoint now) {
+  this->cold_start.SetWarmAfter(gate_limits.warm_after);
+  if (gate_limits.foreign) {
+    // The target can become cold under its other user unnoticed.
+    this->cold_start.Drop(gate_limits.cold_limit);
+  }
   this->cold_start.SetColdLimit(gate_limits.cold_limit, this->limits.slots);
   this->waiting.SetGuaranteedShare(gate_limits.lowest_class_per_mille);
   this->shedder.SetBounds(gate_limits.shed_bounds);
--- a/src/daemon/limit_policy.cc
+++ b/src/daemon/limit_policy.cc
@@ -16,6 +16,14 @@
   return limit / count + (rank < limit % count ? 1 : 0);
 }
 
+// A share that is suspended while the group agrees on a view stays this host's.
+bool BelongsToOthers(const SlotShare& share) {
+  return share.kind == ShareKind::kNone &&
+         (share.reason == ShareReason::kNotOwner ||
+          share.reason == ShareReason::kNotAdmitted ||
+          share.reason == ShareReason::kPaused);
+}
+
 }  // namespace
 
 LimitPolicy::LimitPolicy(SharingPolicy sharing_policy,
@@ -53,15 +61,19 @@
   return {.slots = std::max(
               1U, ShareByRank(target.slots, this->rank, this->live_hosts)),
           .cold_limit =
-              ShareByRank(target.cold_limit, this->rank, this->live_hosts)};
+              ShareByRank(target.cold_limit, this->rank, this->live_hosts),
+          .warm_after = target.warm_after};
 }
 
 GateLimits LimitPolicy::OwnerShare(const TargetConfig& target) const {
   if (target.domain != this->own_domain) {
     return {.slots = 0, .cold_limit = 0};
   }
-  return {.slots = this->owned(target.id, target.slots).slots,
-          .cold_limit = this->owned(target.id, target.cold_limit).slots};
+  const SlotShare share = this->owned(target.id, target.slots);
+  return {.slots = share.slots,
+          .cold_limit = this->owned(target.id, target.cold_limit).slots,
+          .foreign = BelongsToOthers(share),
+          .warm_after = target.warm_after};
 }
 
 }  // namespace auburnyard
