Add fuzzing targets for the readers of outside input

Malformed input was tested by hand-written cases only.

util/fuzz_trace, fuzz_settings, fuzz_query and fuzz_http give arbitrary bytes to the trace reader with replay, the settings parser, the query parser and an HTTP session on loopback.

--- a/test/claim_service_test.cc
+++ b/test/claim_service_test.cc
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "src/daemon/claim_hooks.h"
+
 namespace auburnyard {
 
 namespace {
@@ -151,6 +153,32 @@
   BOOST_TEST(this->store.writes == writes + 1);
 }
 
+// Guards against an absent key that counts as an outage, and against a write
+// with an open outcome that counts as done or as refused.
+BOOST_AUTO_TEST_CASE(PlatformOutcomes) {
+  const auto read = [](PlatformStatus status) {
+    return ToStoreReply(
+        GetResult{.status = status, .entry = {.value = "v", .version = 3}});
+  };
+  BOOST_TEST((read(PlatformStatus::kOk).status == StoreStatus::kOk));
+  BOOST_TEST(read(PlatformStatus::kOk).version == 3U);
+  BOOST_TEST((read(PlatformStatus::kNotFound).status == StoreStatus::kOk));
+  BOOST_TEST(read(PlatformStatus::kNotFound).version == 0U);
+  BOOST_TEST(read(PlatformStatus::kNotFound).value.empty());
+  BOOST_TEST(
+      (read(PlatformStatus::kUnavailable).status == StoreStatus::kUnknown));
+  const auto write = [](PlatformStatus status) {
+    return ToStoreReply(WriteResult{.status = status, .version = 4}).status;
+  };
+  BOOST_TEST((write(PlatformStatus::kOk) == StoreStatus::kOk));
+  BOOST_TEST((write(PlatformStatus::kConflict) == StoreStatus::kConflict));
+  for (const PlatformStatus status :
+       {PlatformStatus::kUnknown, PlatformStatus::kUnavailable,
+        PlatformStatus::kRejected, PlatformStatus::kNotFound}) {
+    BOOST_TEST((write(status) == StoreStatus::kUnknown));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- /dev/null
+++ b/util/fuzz_common/fuzz_inputs.h
@@ -0,0 +1,24 @@
+#ifndef AUBURNYARD_UTIL_FUZZ_COMMON_FUZZ_INPUTS_H_
+#define AUBURNYARD_UTIL_FUZZ_COMMON_FUZZ_INPUTS_H_
+
+#include <string_view>
+
+namespace auburnyard {
+
+// Each function gives arbitrary bytes to one reader of outside input. A refusal
+// by Error is expected; any other exception, a crash or a broken rule is a
+// fault. A broken rule throws std::logic_error.
+
+/// Trace reader and replay. A trace that is read must be written and read back
+/// unchanged.
+void FuzzTrace(std::string_view input);
+/// Settings parser.
+void FuzzSettings(std::string_view input);
+/// Parser of a caller's request. A request that is accepted keeps the limits.
+void FuzzQuery(std::string_view input);
+/// HTTP session on a loopback connection. The session must end.
+void FuzzHttp(std::string_view input);
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_UTIL_FUZZ_COMMON_FUZZ_INPUTS_H_
