--- a/test/configuration_editor_test.cc
+++ b/test/configuration_editor_test.cc
@@ -273,22 +273,18 @@
     ErrorKind expected;
     bool writes;
   };
+  using P = PlatformStatus;
+  using E = ErrorKind;
   const std::string good = SerializeConfiguration(BaseConfiguration());
+  const std::string old = test::SmallDocument(kBase - 1);
   const Case cases[] = {
-      {PlatformStatus::kUnavailable, PlatformStatus::kOk, good,
-       ErrorKind::kPlatformUnavailable, false},
-      {PlatformStatus::kNotFound, PlatformStatus::kOk, good,
-       ErrorKind::kConflict, false},
-      {PlatformStatus::kOk, PlatformStatus::kOk, "{}", ErrorKind::kConflict,
-       false},
-      {PlatformStatus::kOk, PlatformStatus::kOk, test::SmallDocument(kBase - 1),
-       ErrorKind::kConflict, false},
-      {PlatformStatus::kOk, PlatformStatus::kUnavailable, good,
-       ErrorKind::kPlatformUnavailable, true},
-      {PlatformStatus::kOk, PlatformStatus::kRejected, good,
-       ErrorKind::kProtocol, true},
-      {PlatformStatus::kOk, PlatformStatus::kUnknown, good,
-       ErrorKind::kOutcomeUnknown, true}};
+      {P::kUnavailable, P::kOk, good, E::kPlatformUnavailable, false},
+      {P::kNotFound, P::kOk, good, E::kConflict, false},
+      {P::kOk, P::kOk, "{}", E::kConflict, false},
+      {P::kOk, P::kOk, old, E::kConflict, false},
+      {P::kOk, P::kUnavailable, good, E::kPlatformUnavailable, true},
+      {P::kOk, P::kRejected, good, E::kProtocol, true},
+      {P::kOk, P::kUnknown, good, E::kOutcomeUnknown, true}};
   for (const Case& row : cases) {
     QuietStore store{.value = row.value, .read = row.read, .write = row.write};
     const EditResult result = store.Confirm(PlanIdOf("out-north"));
--- a/test/knowledge_test.cc
+++ b/test/knowledge_test.cc
@@ -81,17 +81,14 @@
     Permission current;
     Permission stale;
   };
+  using A = KnowledgeAction;
+  using P = Permission;
   const Case cases[] = {
-      {KnowledgeAction::kOwnDomainTarget, Permission::kAllowed,
-       Permission::kAllowed},
-      {KnowledgeAction::kRemoteOwner, Permission::kAllowed,
-       Permission::kAllowed},
-      {KnowledgeAction::kRemoteTargetDirect, Permission::kAllowed,
-       Permission::kRefused},
-      {KnowledgeAction::kNonIdempotent, Permission::kAllowedIfClaimed,
-       Permission::kAllowedIfClaimed},
-      {KnowledgeAction::kConfirmPlan, Permission::kAllowed,
-       Permission::kRefused}};
+      {A::kOwnDomainTarget, P::kAllowed, P::kAllowed},
+      {A::kRemoteOwner, P::kAllowed, P::kAllowed},
+      {A::kRemoteTargetDirect, P::kAllowed, P::kRefused},
+      {A::kNonIdempotent, P::kAllowedIfClaimed, P::kAllowedIfClaimed},
+      {A::kConfirmPlan, P::kAllowed, P::kRefused}};
   for (const Case& row : cases) {
     BOOST_TEST((PermissionFor(row.action, kStaleAfter) == row.current));
     BOOST_TEST((PermissionFor(row.action, kStaleAfter + milliseconds(1)) ==
