Write the store's faults as JSON log lines; drop an unused member

Cause: two log lines were plain text between JSON lines, and the fuzz build with clang warned of an unused member. Ruled out: a pattern that quotes plain messages; events have fields. Conclusion: one log format.

--- a/src/daemon/entry_host.cc
+++ b/src/daemon/entry_host.cc
@@ -6,7 +6,7 @@
 #include <thread>
 #include <utility>
 
-#include "src/daemon/claim_store.h"
+#include "src/daemon/claim_hooks.h"
 #include "src/daemon/host_metrics.h"
 #include "src/net/http_client.h"
 #include "src/net/log.h"
--- a/src/daemon/query_service.cc
+++ b/src/daemon/query_service.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "auburnyard/decision_records.h"
+
 namespace auburnyard {
 
 struct QueryService::Context {
@@ -213,12 +215,8 @@
 }
 
 void QueryService::Note(const std::string& decision, Reason reason) {
-  DecisionRecord record;
-  record.time = this->parts.recorder.Time();
-  record.decision = decision;
-  record.event = DecisionEvent::kFailure;
-  record.reason = reason;
-  this->parts.recorder.Record(record);
+  this->parts.recorder.Record(
+      MakeNoteRecord(decision, reason, this->parts.recorder.Time()));
 }
 
 }  // namespace auburnyard
--- a/src/daemon/running_query.h
+++ b/src/daemon/running_query.h
@@ -80,7 +80,6 @@
   void OnFailure(const AttemptId& id, const AttemptFailure& failure);
   std::optional<Attempt> TakeAttempt(const AttemptId& id);
 
-  boost::asio::io_context& context;
   const Clock& clock;
   DecisionRecorder& recorder;
   RunningQueryHooks hooks;
--- a/src/daemon/store_faults.cc
+++ b/src/daemon/store_faults.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include <spdlog/spdlog.h>
+#include "src/net/log.h"
 
 namespace auburnyard {
 
@@ -28,8 +28,10 @@
     held = fault;
     ++this->counts.at(static_cast<std::size_t>(fault.kind));
   }
-  spdlog::warn("store document refused: key={} fault={} detail={}", fault.key,
-               ToString(fault.kind), fault.detail);
+  LogEvent(spdlog::level::warn, "store document refused",
+           {{"key", fault.key},
+            {"fault", ToString(fault.kind)},
+            {"detail", fault.detail}});
 }
 
 void StoreFaults::Clear(const std::string& key) {
@@ -39,7 +41,8 @@
       return;
     }
   }
-  spdlog::info("store document is in order again: key={}", key);
+  LogEvent(spdlog::level::info, "store document in order again",
+           {{"key", key}});
 }
 
 std::vector<StoreFault> StoreFaults::List() const {
