Search the shards of a query only after a failure

Every event counted the finished and exhausted shards of its query, and each merged range sorted the covered ranges again. The machine now counts finished shards and searches for exhausted ones only after an attempt has ended without a merge; Coverage inserts a range at its place; NextTimer looks at attempts only if the shard's time is the earliest.

--- a/include/auburnyard/query_machine.h
+++ b/include/auburnyard/query_machine.h
@@ -205,6 +205,10 @@
   TimePoint deadline_at;
   std::optional<Merger> merger;
   std::vector<ShardState> shards;
+  std::size_t done_shards = 0;
+  // An attempt of the pinned snapshot ended without a merge. Until then no
+  // shard can be exhausted, and the shards need not be searched.
+  bool any_failed = false;
   AttemptTable attempts;
   std::uint32_t generation = 0;
   std::uint32_t restarts = 0;
--- a/src/core/coverage.cc
+++ b/src/core/coverage.cc
@@ -1,6 +1,7 @@
 #include "auburnyard/coverage.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace auburnyard {
@@ -35,20 +36,27 @@
     : whole(detail::SortAndMerge(std::move(whole_ranges))) {}
 
 bool Coverage::Add(KeyRange range) {
-  const bool inside = std::any_of(
-      this->whole.begin(), this->whole.end(), [&range](const KeyRange& part) {
-        return part.begin <= range.begin && range.end <= part.end;
-      });
-  const bool overlaps =
-      std::any_of(this->covered.begin(), this->covered.end(),
-                  [&range](const KeyRange& part) {
-                    return range.begin < part.end && part.begin < range.end;
-                  });
+  const auto part = std::partition_point(
+      this->whole.begin(), this->whole.end(),
+      [&range](const KeyRange& one) { return one.end < range.end; });
+  const bool inside = part != this->whole.end() && part->begin <= range.begin;
+  auto next = std::partition_point(
+      this->covered.begin(), this->covered.end(),
+      [&range](const KeyRange& one) { return one.end <= range.begin; });
+  const bool overlaps = next != this->covered.end() && next->begin < range.end;
   if (range.empty() || !inside || overlaps) {
     return false;
   }
-  this->covered.push_back(range);
-  this->covered = detail::SortAndMerge(std::move(this->covered));
+  // Adjacent ranges are kept as one.
+  if (next != this->covered.end() && next->begin == range.end) {
+    range.end = next->end;
+    next = this->covered.erase(next);
+  }
+  if (next != this->covered.begin() && std::prev(next)->end == range.begin) {
+    std::prev(next)->end = range.end;
+  } else {
+    this->covered.insert(next, range);
+  }
   return true;
 }
 
--- a/src/core/query_machine.cc
+++ b/src/core/query_machine.cc
@@ -24,6 +24,8 @@
   this->map = std::move(newest);
   this->merger.emplace(*this->map, this->policy.merge_limits);
   this->shards.assign(this->map->shards.size(), {});
+  this->done_shards = 0;
+  this->any_failed = false;
   ++this->generation;
 }
 
@@ -44,6 +46,7 @@
       this->StartAt(i, replica->target, reason, true, now, actions);
     } else {
       this->shards[i].failure = Reason::kNoReplicaLeft;
+      this->any_failed = true;
       this->Note(Reason::kNoReplicaLeft);
     }
   }
@@ -136,6 +139,7 @@
                            now);
   }
   attempt->ended = RunState::kRun;
+  const std::size_t done_before = this->done_shards;
   if (this->is_finished || attempt->generation != this->generation ||
       this->shards[attempt->shard].done) {
     this->Discard();
@@ -145,6 +149,7 @@
   } else {
     this->Merge(*attempt, std::move(result), now, actions);
   }
+  this->any_failed = this->any_failed || this->done_shards == done_before;
   this->Settle(now, actions);
   return actions;
 }
@@ -161,6 +166,7 @@
   switch (outcome) {
     case MergeOutcome::kMerged:
       this->shards[shard].done = true;
+      ++this->done_shards;
       this->shards[shard].retry_at.reset();
       this->CancelShard(this->shards[shard], Reason::kCancelledByWinner,
                         actions);
@@ -189,6 +195,7 @@
   if (!attempt->ended || attempt->ended == RunState::kUnknown) {
     attempt->ended = failure.run;
   }
+  this->any_failed = true;
   if (live) {
     const bool charged = attempt->dispatched && failure.sent;
     if (failure.reason == Reason::kRestartSnapshotChanged) {
@@ -373,8 +380,9 @@
     if (state.retry_at) {
       next = std::min(next, *state.retry_at);
     }
-    if (hedging && !state.done && this->AnyLive(state)) {
-      next = std::min(next, state.hedge_at);
+    if (hedging && !state.done && state.hedge_at < next &&
+        this->AnyLive(state)) {
+      next = state.hedge_at;
     }
   }
   return next;
--- a/src/core/query_settlement.cc
+++ b/src/core/query_settlement.cc
@@ -73,12 +73,17 @@
     }
     return;
   }
-  const auto exhausted =
-      std::count_if(this->shards.begin(), this->shards.end(),
-                    [this](const ShardState& s) { return this->Exhausted(s); });
-  const auto done = std::count_if(this->shards.begin(), this->shards.end(),
-                                  [](const ShardState& s) { return s.done; });
-  if (static_cast<std::size_t>(exhausted + done) == this->shards.size()) {
+  if (this->done_shards == this->shards.size()) {
+    this->Close(Reason::kCompleted, now, actions);
+    return;
+  }
+  if (!this->any_failed) {
+    return;
+  }
+  const auto exhausted = static_cast<std::size_t>(std::count_if(
+      this->shards.begin(), this->shards.end(),
+      [this](const ShardState& state) { return this->Exhausted(state); }));
+  if (exhausted + this->done_shards == this->shards.size()) {
     this->Close(Reason::kCompleted, now, actions);
   } else if (exhausted > 0 &&
              (this->request.idempotent || !this->attempts.AnyDispatched()) &&
--- a/test/coverage_test.cc
+++ b/test/coverage_test.cc
@@ -1,7 +1,11 @@
 #include "auburnyard/coverage.h"
 
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 
+#include "test/property.h"
+
 namespace auburnyard {
 
 BOOST_AUTO_TEST_SUITE(coverage_test)
@@ -37,6 +41,41 @@
   BOOST_TEST(coverage.Fraction() == 0.0);
 }
 
+// Guards against a wrong merge of neighbouring ranges: compares with a set of
+// single keys.
+BOOST_AUTO_TEST_CASE(AgreesWithASetOfKeys) {
+  BOOST_TEST(test::CounterExample(20261204, [] {
+               Coverage coverage({{0, 12}, {14, 20}, {20, 30}});
+               std::set<std::uint64_t> missing;
+               for (std::uint64_t key = 0; key < 30; ++key) {
+                 if (key < 12 || key >= 14) {
+                   missing.insert(key);
+                 }
+               }
+               for (int i = 0; i < 12; ++i) {
+                 const auto begin = *rc::gen::inRange<std::uint64_t>(0, 31);
+                 const KeyRange range{begin, begin + *rc::gen::inRange(0, 8)};
+                 std::set<std::uint64_t> rest = missing;
+                 for (std::uint64_t key = range.begin; key < range.end; ++key) {
+                   rest.erase(key);
+                 }
+                 const bool fresh =
+                     !range.empty() &&
+                     rest.size() + range.size() == missing.size();
+                 RC_ASSERT(coverage.Add(range) == fresh);
+                 missing = fresh ? rest : missing;
+               }
+               std::set<std::uint64_t> stated;
+               for (const KeyRange& range : coverage.Missing()) {
+                 for (std::uint64_t key = range.begin; key < range.end; ++key) {
+                   stated.insert(key);
+                 }
+               }
+               RC_ASSERT(stated == missing);
+               RC_ASSERT(coverage.Complete() == missing.empty());
+             }) == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
