--- a/test/script.h
+++ b/test/script.h
@@ -1,12 +1,12 @@
 #ifndef AUBURNYARD_TEST_SCRIPT_H_
 #define AUBURNYARD_TEST_SCRIPT_H_
 
+#include <algorithm>
 #include <functional>
 #include <sstream>
 #include <string>
-#include <vector>
 
-#include <boost/algorithm/string.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace auburnyard::test {
@@ -19,9 +19,10 @@
     const std::function<std::string(std::int64_t ms,
                                     const std::string& verb,
                                     std::istream& arguments)>& perform) {
-  std::vector<std::string> lines;
-  boost::algorithm::split(lines, script, boost::algorithm::is_any_of(";\n"));
-  for (std::string& line : lines) {
+  std::string separated = script;
+  std::replace(separated.begin(), separated.end(), ';', '\n');
+  std::istringstream lines(separated);
+  for (std::string line; std::getline(lines, line);) {
     boost::algorithm::trim(line);
     if (line.empty()) {
       continue;
