--- a/src/daemon/gate_table.h
+++ b/src/daemon/gate_table.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "auburnyard/configuration.h"
+#include "src/daemon/gate_hooks.h"
 #include "src/daemon/gate_runner.h"
 
 namespace auburnyard {
@@ -21,8 +22,11 @@
  public:
   GateTable(boost::asio::io_context& context,
             const Clock& clock,
-            std::function<GateLimits(const TargetConfig&)> limits);
+            GateHooks hooks,
+            DecisionRecorder& recorder);
 
+  /// `own_domain`: gates of other domains are not created; empty: all are.
+  void SetDomain(std::string own_domain);
   /// Creates, updates and removes gates. Work queued at removed gates is
   /// rejected.
   void Apply(const Configuration& configuration);
@@ -36,6 +40,8 @@
   void Enqueue(const SubRequest& request, SubRequestObserver observer);
   void Cancel(const std::string& target, const AttemptId& id, Reason reason);
 
+  /// Whether any gate has a share of its target, or there are no gates.
+  bool AnyOpen() const;
   std::shared_ptr<GateRunner> Find(const std::string& target) const;
   void ForEach(const std::function<void(const GateRunner&)>& visit) const;
 
@@ -44,7 +50,9 @@
 
   boost::asio::io_context& context;
   const Clock& clock;
-  std::function<GateLimits(const TargetConfig&)> limits;
+  GateHooks hooks;
+  DecisionRecorder& recorder;
+  std::string domain;
   mutable std::shared_mutex mutex;
   std::map<std::string, std::shared_ptr<GateRunner>, std::less<>> gates;
 };
--- a/src/daemon/membership_service.h
+++ b/src/daemon/membership_service.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_SRC_DAEMON_MEMBERSHIP_SERVICE_H_
 #define AUBURNYARD_SRC_DAEMON_MEMBERSHIP_SERVICE_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -25,7 +26,7 @@
 namespace auburnyard {
 
 /// A host as `status` reports it.
-struct HostStatus {
+struct MemberStatus {
   HostRecord record;
   HostState state = HostState::kLive;
   std::optional<Duration> round_trip;
@@ -65,7 +66,9 @@
   bool Admitted();
   /// Rank of this host among the live hosts of its domain, 0 for the lowest id.
   std::size_t RankInDomain();
-  std::vector<HostStatus> Hosts();
+  std::vector<MemberStatus> OtherHosts();
+  /// Live hosts, this one included.
+  std::size_t LiveCount();
   HostState StateOf(std::string_view id);
   /// A host did not answer in time.
   void ReportUnreachable(std::string_view id);
@@ -77,6 +80,8 @@
 
   const HostRecord& identity() const { return this->own_identity; }
   const PeerBusCounters& counters() const { return this->bus.counters(); }
+  /// Bytes of host lists read so far.
+  std::uint64_t list_bytes() const { return this->list_byte_count.load(); }
 
  private:
   void Receive(const proto::Envelope& envelope);
@@ -91,7 +96,7 @@
   void ReadHostList();
   void OnHostList(const ExchangeResult& result);
   void SendAll(const std::vector<OutgoingMessage>& messages,
-               const std::vector<DocumentDigest>& digests);
+               const std::vector<PeerDigest>& digests);
   void UpdateInFlight();
   void ReportChange();
   Duration Jitter(Duration range);
@@ -107,6 +112,7 @@
   boost::asio::steady_timer gossip_timer;
   boost::asio::steady_timer list_timer;
   std::shared_ptr<HttpConnection> list_connection;
+  std::atomic<std::uint64_t> list_byte_count{0};
   std::mutex mutex;  // protects the members below
   Membership membership;
   Ownership ownership;
