--- /dev/null
+++ b/util/experiment/child_process.cc
@@ -0,0 +1,67 @@
+#include "util/experiment/child_process.h"
+
+#include <chrono>
+#include <csignal>
+#include <cstring>
+#include <thread>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "auburnyard/error.h"
+
+namespace auburnyard::util {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval{5};
+constexpr int kMaxPolls = 400;
+
+}  // namespace
+
+ChildProcess::ChildProcess(const std::vector<std::string>& command,
+                           const std::string& log_path) {
+  std::vector<char*> arguments;
+  for (const std::string& argument : command) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(),
+                                   O_WRONLY | O_CREAT | O_TRUNC, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int error = posix_spawn(&this->pid, command.front().c_str(), &actions,
+                                nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    throw Error(ErrorKind::kInternal,
+                command.front() + ": " + std::strerror(error));
+  }
+}
+
+ChildProcess::~ChildProcess() {
+  this->Terminate();
+  if (!this->WaitForExit()) {
+    kill(this->pid, SIGKILL);
+    waitpid(this->pid, nullptr, 0);
+  }
+}
+
+void ChildProcess::Terminate() const {
+  kill(this->pid, SIGTERM);
+}
+
+bool ChildProcess::WaitForExit() const {
+  for (int i = 0; i < kMaxPolls; ++i) {
+    if (waitpid(this->pid, nullptr, WNOHANG) != 0) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+}  // namespace auburnyard::util
--- /dev/null
+++ b/util/experiment/child_process.h
@@ -0,0 +1,32 @@
+#ifndef AUBURNYARD_UTIL_EXPERIMENT_CHILD_PROCESS_H_
+#define AUBURNYARD_UTIL_EXPERIMENT_CHILD_PROCESS_H_
+
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace auburnyard::util {
+
+/// A child process of this tool, ended with the object.
+class ChildProcess {
+ public:
+  /// Starts a program; its output goes to `log_path`. Throws Error(kInternal).
+  ChildProcess(const std::vector<std::string>& command,
+               const std::string& log_path);
+  ~ChildProcess();
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+
+  /// Sends SIGTERM without waiting.
+  void Terminate() const;
+
+ private:
+  bool WaitForExit() const;
+
+  pid_t pid = -1;
+};
+
+}  // namespace auburnyard::util
+
+#endif  // AUBURNYARD_UTIL_EXPERIMENT_CHILD_PROCESS_H_
--- /dev/null
+++ b/util/experiment/cluster.cc
@@ -0,0 +1,206 @@
+#include "util/experiment/cluster.h"
+
+#include <chrono>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "auburnyard/error.h"
+#include "src/net/http_client.h"
+
+namespace auburnyard::util {
+
+namespace {
+
+constexpr std::chrono::seconds kCallTimeout{5};
+constexpr std::chrono::seconds kReadyTimeout{20};
+constexpr std::chrono::milliseconds kPollInterval{20};
+// Offsets from the base port.
+constexpr int kPlatform = 0;
+constexpr int kPlatformControl = 1;
+constexpr int kHostList = 2;
+constexpr int kTargetControl = 4;
+
+void WriteJson(const std::string& path, const boost::json::value& value) {
+  std::ofstream(path) << boost::json::serialize(value) << '\n';
+}
+
+HttpResponse Post(const std::string& address,
+                  const std::string& path,
+                  const boost::json::value& body) {
+  HttpCall call;
+  call.method = "POST";
+  call.path = path;
+  call.body = boost::json::serialize(body);
+  HttpResponse response = CallHttp(address, call, kCallTimeout);
+  if (response.status != 200) {
+    throw Error(ErrorKind::kInternal, address + path + ": " + response.body);
+  }
+  return response;
+}
+
+bool Answers(const std::string& address, const std::string& path) {
+  try {
+    HttpCall call;
+    call.path = path;
+    return CallHttp(address, call, kCallTimeout).status == 200;
+  } catch (const Error&) {
+    return false;
+  }
+}
+
+void WaitFor(const std::string& address, const std::string& path) {
+  const auto give_up = std::chrono::steady_clock::now() + kReadyTimeout;
+  while (!Answers(address, path)) {
+    if (std::chrono::steady_clock::now() >= give_up) {
+      throw Error(ErrorKind::kInternal, address + path + ": is not ready");
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+}  // namespace
+
+Cluster::Cluster(const Shape& shape, const ClusterOptions& cluster_options)
+    : cluster_shape(shape), options(cluster_options) {
+  this->StartStandIns();
+  for (const ShapeHost& host : this->cluster_shape.hosts) {
+    this->StartHost(host);
+  }
+  this->WaitUntilReady();
+}
+
+// All children are asked to end before the first is waited for.
+Cluster::~Cluster() {
+  for (const auto& child : this->children) {
+    child->Terminate();
+  }
+}
+
+std::string Cluster::ControlAddress(int index) const {
+  return "127.0.0.1:" + std::to_string(this->options.base_port + index);
+}
+
+void Cluster::Start(const std::string& program,
+                    std::vector<std::string> arguments,
+                    const std::string& name) {
+  arguments.insert(arguments.begin(),
+                   this->options.program_directory + "/" + program);
+  this->children.push_back(std::make_unique<ChildProcess>(
+      arguments, this->options.work_directory + "/" + name + ".log"));
+}
+
+void Cluster::StartStandIns() {
+  const std::string& directory = this->options.work_directory;
+  boost::json::object keys;
+  keys["auburnyard/config"] = ConfigurationOf(this->cluster_shape, 1, "");
+  for (const ShapeService& service : this->cluster_shape.services) {
+    keys["auburnyard/catalog/" + service.name] = CatalogOf(service);
+  }
+  WriteJson(directory + "/keys.json", keys);
+  WriteJson(directory + "/targets.json",
+            TargetFileOf(this->cluster_shape, this->options.median_ms,
+                         this->options.seed));
+  this->Start("util/platform-standin",
+              {"--listen", this->ControlAddress(kPlatform), "--control",
+               this->ControlAddress(kPlatformControl), "--initial-keys",
+               directory + "/keys.json"},
+              "platform");
+  std::vector<std::string> hosts = {"--listen",
+                                    this->ControlAddress(kHostList)};
+  for (const ShapeHost& host : this->cluster_shape.hosts) {
+    hosts.emplace_back("--host");
+    hosts.push_back("id=" + host.id + ",address=" + host.peer_listen +
+                    ",domain=" + host.domain);
+  }
+  this->Start("util/host-list-standin", hosts, "host-list");
+  this->Start("util/target-standin",
+              {"--targets", directory + "/targets.json", "--control",
+               this->ControlAddress(kTargetControl)},
+              "targets");
+  WaitFor(this->ControlAddress(kPlatformControl), "/v1/status");
+  WaitFor(this->ControlAddress(kHostList), "/v1/hosts");
+  WaitFor(this->ControlAddress(kTargetControl), "/v1/targets");
+}
+
+void Cluster::StartHost(const ShapeHost& host) {
+  boost::json::array peers;
+  for (const ShapeHost& peer : this->cluster_shape.hosts) {
+    if (peer.id != host.id) {
+      peers.emplace_back(peer.peer_listen);
+    }
+  }
+  const std::string path =
+      this->options.work_directory + "/" + host.id + ".json";
+  WriteJson(path,
+            boost::json::object{{"id", host.id},
+                                {"domain", host.domain},
+                                {"region", host.region},
+                                {"listen", host.listen},
+                                {"peer_listen", host.peer_listen},
+                                {"platform", this->ControlAddress(kPlatform)},
+                                {"host_list", this->ControlAddress(kHostList)},
+                                {"peers", std::move(peers)},
+                                {"fleet_key", "experiment-fleet-key"},
+                                {"operator_key", "experiment-operator-key"},
+                                {"policy", this->options.policy},
+                                {"balancer_lag_ms", 0},
+                                {"shutdown_timeout_ms", 500},
+                                {"log_level", "warn"}});
+  this->Start("auburnyardd", {"--settings", path}, host.id);
+}
+
+void Cluster::WaitUntilReady() const {
+  for (const ShapeHost& host : this->cluster_shape.hosts) {
+    WaitFor(host.listen, "/readyz");
+  }
+}
+
+std::vector<std::string> Cluster::HostAddresses() const {
+  std::vector<std::string> addresses;
+  for (const ShapeHost& host : this->cluster_shape.hosts) {
+    addresses.push_back(host.listen);
+  }
+  return addresses;
+}
+
+void Cluster::ControlTargets(const boost::json::object& change) const {
+  Post(this->ControlAddress(kTargetControl), "/v1/control", change);
+}
+
+void Cluster::ControlPlatform(const boost::json::object& change) const {
+  Post(this->ControlAddress(kPlatformControl), "/v1/control", change);
+}
+
+void Cluster::TakeOut(const std::string& domain) {
+  HttpCall call;
+  call.method = "PUT";
+  call.path = "/v1/kv/auburnyard/config";
+  call.body = boost::json::serialize(boost::json::object{
+      {"value", boost::json::serialize(ConfigurationOf(
+                    this->cluster_shape, this->revision + 1, domain))},
+      {"expect_version", this->revision}});
+  const HttpResponse response =
+      CallHttp(this->ControlAddress(kPlatform), call, kCallTimeout);
+  if (response.status != 200) {
+    throw Error(ErrorKind::kInternal, "configuration: " + response.body);
+  }
+  ++this->revision;
+}
+
+boost::json::value Cluster::TargetStatus() const {
+  HttpCall call;
+  call.path = "/v1/targets";
+  return boost::json::parse(
+      CallHttp(this->ControlAddress(kTargetControl), call, kCallTimeout).body);
+}
+
+void Cluster::ResetTargetRecords() const {
+  Post(this->ControlAddress(kTargetControl), "/v1/reset",
+       boost::json::object{});
+}
+
+}  // namespace auburnyard::util
--- /dev/null
+++ b/util/experiment/scenario.cc
@@ -0,0 +1,71 @@
+#include "util/experiment/scenario.h"
+
+#include <boost/json/array.hpp>
+
+namespace auburnyard::util {
+
+namespace {
+
+constexpr const char* kLostDomain = "d2";
+// The base rate is about 0.3 of the capacity of the portal; this makes twice
+// the capacity.
+constexpr double kOverloadFactor = 6.5;
+
+void SlowDown(Cluster& cluster) {
+  cluster.ControlTargets({{"slow_share", 0.05}, {"slow_factor", 10.0}});
+}
+
+void LoseReplica(Cluster& cluster) {
+  const std::string& target = cluster.shape().services[0].shards[0][0];
+  cluster.ControlTargets(
+      {{"targets", boost::json::array{target}}, {"action", "crash"}});
+}
+
+/// The first replica of every shard of the first service restarts.
+void RestartReplicas(Cluster& cluster) {
+  boost::json::array targets;
+  for (const auto& replicas : cluster.shape().services[0].shards) {
+    targets.emplace_back(replicas[0]);
+  }
+  cluster.ControlTargets(
+      {{"targets", std::move(targets)}, {"action", "restart"}});
+}
+
+void TakeDomainOut(Cluster& cluster) {
+  cluster.TakeOut(kLostDomain);
+}
+
+void BringDomainBack(Cluster& cluster) {
+  cluster.ControlTargets({{"domain", kLostDomain}, {"action", "restart"}});
+  cluster.TakeOut("");
+}
+
+void StopPlatform(Cluster& cluster) {
+  cluster.ControlPlatform({{"outage", "down"}});
+}
+
+void StartPlatform(Cluster& cluster) {
+  cluster.ControlPlatform({{"outage", "none"}});
+}
+
+std::vector<Scenario> BuildScenarios() {
+  return {
+      {.name = "steady"},
+      {.name = "stragglers", .steps = {{0.0, SlowDown}}},
+      {.name = "replica_lost", .steps = {{0.3, LoseReplica}}},
+      {.name = "cold_target", .steps = {{0.3, RestartReplicas}}},
+      {.name = "overload", .rate_factor = kOverloadFactor, .all_classes = true},
+      {.name = "domain_out_and_back",
+       .steps = {{0.25, TakeDomainOut}, {0.6, BringDomainBack}}},
+      {.name = "platform_down",
+       .steps = {{0.25, StopPlatform}, {0.75, StartPlatform}}}};
+}
+
+}  // namespace
+
+std::span<const Scenario> AllScenarios() {
+  static const std::vector<Scenario> scenarios = BuildScenarios();
+  return scenarios;
+}
+
+}  // namespace auburnyard::util
--- a/util/load_driver/load_generator.cc
+++ b/util/load_driver/load_generator.cc
@@ -116,6 +116,7 @@
 void LoadGenerator::Send(const PlannedRequest& planned) {
   LoadSample sample;
   sample.offset = planned.offset;
+  sample.service = planned.service;
   sample.priority = planned.priority;
   sample.host = planned.host;
   sample.start_lag =
--- a/util/load_driver/load_sample.h
+++ b/util/load_driver/load_sample.h
@@ -12,6 +12,7 @@
   Duration offset{};     ///< intended start, from the beginning of the run
   Duration latency{};    ///< from the intended start
   Duration start_lag{};  ///< how late the generator was
+  std::string service;
   std::string priority;
   std::string host;
   std::string refusal;  ///< error kind; empty if answered
