Set the hedge delay in the experiment

A first run of stragglers showed an extra load of exactly 1.0 for every policy and the same median: no hedge was sent.

--- a/util/experiment/scenario.cc
+++ b/util/experiment/scenario.cc
@@ -64,8 +64,8 @@
 }  // namespace
 
 std::span<const Scenario> AllScenarios() {
-  static const std::vector<Scenario> scenarios = BuildScenarios();
-  return scenarios;
+  static const std::vector<Scenario> kScenarios = BuildScenarios();
+  return kScenarios;
 }
 
 }  // namespace auburnyard::util
--- a/util/experiment/shape.cc
+++ b/util/experiment/shape.cc
@@ -139,7 +139,7 @@
                               {"hedge_budget", 0.05},
                               {"early_answer", shape.early_answer},
                               {"min_coverage", 0.0},
-                              {"hedge_delay_ms", 0}};
+                              {"hedge_delay_ms", shape.hedge_delay_ms}};
   }
   return {{"revision", revision},
           {"nonce", "experiment-" + std::to_string(revision)},
--- a/util/experiment/shape.h
+++ b/util/experiment/shape.h
@@ -38,6 +38,7 @@
 struct Shape {
   std::string name;
   bool early_answer = true;
+  std::uint64_t hedge_delay_ms = 80;
   std::map<std::string, std::string> domains;  ///< name to region
   std::vector<ShapeHost> hosts;
   std::vector<ShapeTarget> targets;
--- a/util/experiment/trial.cc
+++ b/util/experiment/trial.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Beyond the 99th percentile of the targets' latency without stragglers, which
+// is 1.8 times the median for a standard deviation of 0.25 of the logarithm.
+constexpr double kHedgeDelayFactor = 2.0;
 // The entry hosts open connections and learn that the targets are warm.
 constexpr std::chrono::milliseconds kWarmUp{1'000};
 
@@ -109,8 +112,10 @@
 }  // namespace
 
 TrialResult RunTrial(const Scenario& scenario, const TrialOptions& options) {
-  Cluster cluster(BuildShape(options.shape, options.cluster.base_port),
-                  options.cluster);
+  Shape shape = BuildShape(options.shape, options.cluster.base_port);
+  shape.hedge_delay_ms =
+      static_cast<std::uint64_t>(kHedgeDelayFactor * options.cluster.median_ms);
+  Cluster cluster(shape, options.cluster);
   const LoadOptions load = LoadOf(scenario, options, cluster);
   WarmUp(load, options.rate);
   cluster.ResetTargetRecords();
