--- a/util/common/command_line.cc
+++ b/util/common/command_line.cc
@@ -87,9 +87,9 @@
 }
 
 const std::vector<std::string>& CommandLine::All(std::string_view name) const {
-  static const std::vector<std::string> none;
+  static const std::vector<std::string> kNone;
   const auto found = this->values.find(name);
-  return found == this->values.end() ? none : found->second;
+  return found == this->values.end() ? kNone : found->second;
 }
 
 }  // namespace auburnyard::util
--- a/util/target_standin/snapshot_table.cc
+++ b/util/target_standin/snapshot_table.cc
@@ -29,12 +29,12 @@
 
 const std::vector<SnapshotTable::Holding>& SnapshotTable::Find(
     std::string_view service) const {
-  static const std::vector<Holding> none;
+  static const std::vector<Holding> kNone;
   auto found = this->holdings.find(service);
   if (found == this->holdings.end()) {
     found = this->holdings.find("");
   }
-  return found == this->holdings.end() ? none : found->second;
+  return found == this->holdings.end() ? kNone : found->second;
 }
 
 bool SnapshotTable::Holds(std::string_view service,
