--- a/util/experiment/cluster.cc
+++ b/util/experiment/cluster.cc
@@ -73,10 +73,10 @@
   this->WaitUntilReady();
 }
 
-// All children are asked to end before the first is waited for.
+// All children are killed before the first is waited for.
 Cluster::~Cluster() {
   for (const auto& child : this->children) {
-    child->Terminate();
+    child->Kill();
   }
 }
 
--- a/util/experiment/trial.cc
+++ b/util/experiment/trial.cc
@@ -115,7 +115,9 @@
   Shape shape = BuildShape(options.shape, options.cluster.base_port);
   shape.hedge_delay_ms =
       static_cast<std::uint64_t>(kHedgeDelayFactor * options.cluster.median_ms);
+  const auto launched = std::chrono::steady_clock::now();
   Cluster cluster(shape, options.cluster);
+  const auto ready = std::chrono::steady_clock::now();
   const LoadOptions load = LoadOf(scenario, options, cluster);
   WarmUp(load, options.rate);
   cluster.ResetTargetRecords();
@@ -130,6 +132,7 @@
   TrialResult result;
   result.samples = generator.samples();
   result.report = ReportLoad(load, result.samples);
+  result.report["startup_ms"] = ToMilliseconds(ready - launched);
   result.report["scenario"] = scenario.name;
   result.report["policy"] = options.cluster.policy;
   result.report["repeat"] = options.repeat;
