--- a/util/membership_bench/bench_host.h
+++ b/util/membership_bench/bench_host.h
@@ -13,7 +13,7 @@
 /// Fleet layout of a run.
 struct BenchLayout {
   /// Below the range of ports that the kernel gives to outgoing connections.
-  std::uint16_t base_port = 21'000;
+  std::uint16_t base_port = 28'500;
   std::size_t domains = 3;
   std::size_t group_size = 8;
   std::chrono::seconds warm_up{20};
--- a/util/membership_bench/main.cc
+++ b/util/membership_bench/main.cc
@@ -26,7 +26,7 @@
 
 struct Options {
   int host = -1;
-  int base_port = 21'000;
+  int base_port = 28'500;
   int warm_up = 20;
   int measured = 10;
   char* sizes = nullptr;
