--- a/src/daemon/entry_host.cc
+++ b/src/daemon/entry_host.cc
@@ -17,6 +17,7 @@
 
 constexpr std::chrono::milliseconds kGateTimerInterval{5};
 constexpr std::chrono::milliseconds kDispatcherInterval{50};
+constexpr std::chrono::milliseconds kDrainProbeInterval{1000};
 constexpr std::chrono::milliseconds kGossipInterval{500};
 constexpr std::chrono::milliseconds kSweepInterval{500};
 constexpr std::chrono::milliseconds kIdleCheckInterval{20};
@@ -269,6 +270,7 @@
 void EntryHost::StartTasks() {
   this->AddTask(kGateTimerInterval, [this] { this->gates.OnTimer(); });
   this->AddTask(kDispatcherInterval, [this] { this->dispatcher.OnTimer(); });
+  this->AddTask(kDrainProbeInterval, [this] { this->gates.ProbeDraining(); });
   this->AddTask(kGossipInterval, [this] { this->OnGossipRound(); });
   this->AddTask(kSweepInterval, [this] {
     if (this->membership->RankInDomain() == 0) {
@@ -396,14 +398,34 @@
       !this->membership->Admitted()) {
     return false;
   }
-  // A new host is ready once its group has granted it a share of some target.
   // It stays ready when a later change of the group suspends its shares.
-  if (!this->serving.load() && this->gates.AnyOpen()) {
+  if (!this->serving.load() && this->GroupServes()) {
     this->serving = true;
   }
   return this->serving.load();
 }
 
+// Every target of the domain has an owner, and if this host owns any, its group
+// has granted it a share.
+bool EntryHost::GroupServes() {
+  if (this->settings.policy != SharingPolicy::kOwner) {
+    return true;
+  }
+  bool owned = false;
+  bool open = false;
+  bool complete = true;
+  this->gates.ForEach([&](const GateRunner& gate) {
+    const TargetConfig target = gate.config();
+    const std::optional<HostRecord> owner = this->OwnerOf(target.id);
+    complete = complete && owner.has_value();
+    if (owner && owner->id == this->settings.id) {
+      owned = true;
+      open = open || this->limits.LimitsOf(target).slots > 0;
+    }
+  });
+  return complete && (!owned || open);
+}
+
 void EntryHost::WaitForSignal() {
   this->signals.async_wait(
       [this](boost::system::error_code error, int /*signal*/) {
--- a/src/daemon/entry_host.h
+++ b/src/daemon/entry_host.h
@@ -69,6 +69,7 @@
   void FinishWhenIdle();
   bool Idle();
   bool Ready();
+  bool GroupServes();
   void StopParts();
 
   Settings settings;
--- a/src/daemon/gate_runner.cc
+++ b/src/daemon/gate_runner.cc
@@ -107,6 +107,25 @@
   this->Perform(actions);
 }
 
+void GateRunner::ProbeDraining() {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (!this->gate.draining()) {
+      return;
+    }
+  }
+  this->client->Probe(
+      [self = this->shared_from_this()](const TargetReport& report) {
+        std::vector<GateAction> actions;
+        if (!report.draining && !report.start_id.empty()) {
+          const std::lock_guard lock(self->mutex);
+          actions = self->gate.EndDrain(self->clock.Now());
+          self->Record(actions);
+        }
+        self->Perform(actions);
+      });
+}
+
 TargetConfig GateRunner::config() const {
   const std::lock_guard lock(this->mutex);
   return this->target;
--- a/src/daemon/gate_runner.h
+++ b/src/daemon/gate_runner.h
@@ -35,6 +35,8 @@
   void RefreshLimits();
   void SetAdmission(GateAdmission admission);
   void OnTimer();
+  /// Asks a target that drains whether it still does.
+  void ProbeDraining();
 
   TargetConfig config() const;
   /// Requests queued and in flight.
--- a/src/daemon/gate_table.cc
+++ b/src/daemon/gate_table.cc
@@ -1,6 +1,5 @@
 #include "src/daemon/gate_table.h"
 
-#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -84,6 +83,12 @@
   }
 }
 
+void GateTable::ProbeDraining() {
+  for (const auto& gate : this->Snapshot()) {
+    gate->ProbeDraining();
+  }
+}
+
 void GateTable::Enqueue(const SubRequest& request,
                         SubRequestObserver observer) {
   const std::shared_ptr<GateRunner> gate = this->Find(request.target);
@@ -105,14 +110,6 @@
   }
 }
 
-bool GateTable::AnyOpen() const {
-  const std::vector<std::shared_ptr<GateRunner>> all = this->Snapshot();
-  return all.empty() ||
-         std::any_of(all.begin(), all.end(), [this](const auto& gate) {
-           return this->hooks.limits(gate->config()).slots > 0;
-         });
-}
-
 std::shared_ptr<GateRunner> GateTable::Find(const std::string& target) const {
   const std::shared_lock lock(this->mutex);
   const auto found = this->gates.find(target);
--- a/src/daemon/gate_table.h
+++ b/src/daemon/gate_table.h
@@ -34,14 +34,14 @@
   void RefreshLimits();
   /// Expires queued work; called periodically.
   void OnTimer();
+  /// Asks targets that drain whether they still do; called periodically.
+  void ProbeDraining();
 
   /// Passes the sub-request to the gate of its target. The observer hears a
   /// rejection later, never from this call.
   void Enqueue(const SubRequest& request, SubRequestObserver observer);
   void Cancel(const std::string& target, const AttemptId& id, Reason reason);
 
-  /// Whether any gate has a share of its target, or there are no gates.
-  bool AnyOpen() const;
   std::shared_ptr<GateRunner> Find(const std::string& target) const;
   void ForEach(const std::function<void(const GateRunner&)>& visit) const;
 
--- a/src/daemon/limit_policy.cc
+++ b/src/daemon/limit_policy.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::uint32_t kUnlimited = 1'000'000;
+// A draining target is probed without work, so no request finds out whether it
+// is back.
+constexpr std::chrono::hours kDrainHold{24};
 
 std::uint32_t ShareByRank(std::uint32_t limit,
                           std::size_t rank,
@@ -62,7 +65,8 @@
               1U, ShareByRank(target.slots, this->rank, this->live_hosts)),
           .cold_limit =
               ShareByRank(target.cold_limit, this->rank, this->live_hosts),
-          .warm_after = target.warm_after};
+          .warm_after = target.warm_after,
+          .drain_hold = kDrainHold};
 }
 
 GateLimits LimitPolicy::OwnerShare(const TargetConfig& target) const {
@@ -73,7 +77,8 @@
   return {.slots = share.slots,
           .cold_limit = this->owned(target.id, target.cold_limit).slots,
           .foreign = BelongsToOthers(share),
-          .warm_after = target.warm_after};
+          .warm_after = target.warm_after,
+          .drain_hold = kDrainHold};
 }
 
 }  // namespace auburnyard
--- a/src/daemon/target_client.cc
+++ b/src/daemon/target_client.cc
@@ -76,15 +76,15 @@
                        const SubRequest& request,
                        TargetReply& reply) {
   reply.report = ReadReport(response);
-  if (response.Header("X-Not-Started") == "1") {
+  if (response.status == kHttpConflict &&
+      !response.Header("X-Snapshot").empty()) {
+    reply.outcome = ReplyOutcome::kRefusedBeforeStart;
+    reply.failure = {Reason::kRestartSnapshotChanged, RunState::kNotRun};
+  } else if (response.Header("X-Not-Started") == "1") {
     reply.outcome = ReplyOutcome::kRefusedBeforeStart;
     reply.failure = {reply.report.draining ? Reason::kRetryTargetDraining
                                            : Reason::kRetryTargetRefused,
                      RunState::kNotRun};
-  } else if (response.status == kHttpConflict &&
-             !response.Header("X-Snapshot").empty()) {
-    reply.outcome = ReplyOutcome::kRefusedBeforeStart;
-    reply.failure = {Reason::kRestartSnapshotChanged, RunState::kNotRun};
   } else if (response.status == kHttpOk) {
     reply.result = ParseResult(response, request);
     reply.outcome = ReplyOutcome::kOk;
@@ -99,10 +99,9 @@
   if (!exchange.error.empty()) {
     reply.timed_out = exchange.timed_out;
     reply.connection_lost = !exchange.timed_out;
+    const bool sent = exchange.stage != ExchangeStage::kConnect;
     reply.failure = {Reason::kRetryConnectionFailed,
-                     exchange.stage == ExchangeStage::kConnect
-                         ? RunState::kNotRun
-                         : RunState::kUnknown};
+                     sent ? RunState::kUnknown : RunState::kNotRun, sent};
     return reply;
   }
   try {
@@ -156,6 +155,22 @@
       });
 }
 
+void TargetClient::Probe(std::function<void(TargetReport)> callback) {
+  std::shared_ptr<HttpConnection> connection = this->Acquire();
+  connection->Exchange(
+      {.method = "POST",
+       .path = "/v1/cancel",
+       .headers = {{"X-Attempt-Id", "probe"}}},
+      kCancelTimeout,
+      [self = this->shared_from_this(), connection,
+       done = std::move(callback)](const ExchangeResult& exchange) {
+        self->Release(connection, exchange.reusable);
+        if (exchange.error.empty()) {
+          done(ReadReport(exchange.response));
+        }
+      });
+}
+
 std::size_t TargetClient::open_connections() const {
   const std::lock_guard lock(this->mutex);
   return this->in_use + this->idle.size();
--- a/src/daemon/target_client.h
+++ b/src/daemon/target_client.h
@@ -38,6 +38,9 @@
   /// Asks the target to cancel an attempt; the exchange still ends through its
   /// callback.
   void Cancel(const AttemptId& id);
+  /// Asks for the target's state without giving it work, by cancelling an
+  /// attempt that does not exist. No callback without a reply.
+  void Probe(std::function<void(TargetReport)> callback);
   std::size_t open_connections() const;
 
  private:
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -215,7 +215,10 @@
         boost::beast::error_code peek_error;
         self->socket.receive(asio::buffer(&byte, 1),
                              asio::ip::tcp::socket::message_peek, peek_error);
-        if (peek_error) {
+        // Readiness can be reported for bytes that were read already.
+        if (peek_error == asio::error::would_block) {
+          self->WatchPeer();
+        } else if (peek_error) {
           watch->NotifyClosed();
         }
       });
--- a/util/experiment/child_process.cc
+++ b/util/experiment/child_process.cc
@@ -1,7 +1,9 @@
 #include "util/experiment/child_process.h"
 
+#include <chrono>
 #include <csignal>
 #include <cstring>
+#include <thread>
 
 #include <fcntl.h>
 #include <spawn.h>
@@ -12,6 +14,13 @@
 
 namespace auburnyard::util {
 
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval{5};
+constexpr int kMaxPolls = 2000;
+
+}  // namespace
+
 ChildProcess::ChildProcess(const std::vector<std::string>& command,
                            const std::string& log_path) {
   std::vector<char*> arguments;
@@ -33,15 +42,27 @@
   }
 }
 
+// A run is over before its processes end, and a graceful shutdown would take
+// longer than a short run.
 ChildProcess::~ChildProcess() {
-  this->Kill();
-  waitpid(this->pid, nullptr, 0);
+  this->Signal(SIGKILL);
+  this->WaitForExit();
 }
 
-// A run is over before its processes end, and a graceful shutdown would take
-// longer than a short run.
-void ChildProcess::Kill() const {
-  kill(this->pid, SIGKILL);
+void ChildProcess::Signal(int number) const {
+  if (!this->exited) {
+    kill(this->pid, number);
+  }
+}
+
+bool ChildProcess::WaitForExit() {
+  for (int i = 0; i < kMaxPolls && !this->exited; ++i) {
+    this->exited = waitpid(this->pid, nullptr, WNOHANG) != 0;
+    if (!this->exited) {
+      std::this_thread::sleep_for(kPollInterval);
+    }
+  }
+  return this->exited;
 }
 
 }  // namespace auburnyard::util
--- a/util/experiment/child_process.h
+++ b/util/experiment/child_process.h
@@ -18,11 +18,14 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
-  /// Sends SIGKILL without waiting.
-  void Kill() const;
+  /// Sends a signal without waiting.
+  void Signal(int number) const;
+  /// Waits for the exit of a process that was asked to end; false after 10 s.
+  bool WaitForExit();
 
  private:
   pid_t pid = -1;
+  bool exited = false;
 };
 
 }  // namespace auburnyard::util
--- a/util/experiment/cluster.cc
+++ b/util/experiment/cluster.cc
@@ -1,6 +1,7 @@
 #include "util/experiment/cluster.h"
 
 #include <chrono>
+#include <csignal>
 #include <fstream>
 #include <thread>
 #include <utility>
@@ -75,8 +76,8 @@
 
 // All children are killed before the first is waited for.
 Cluster::~Cluster() {
-  for (const auto& child : this->children) {
-    child->Kill();
+  for (const auto& [name, child] : this->children) {
+    child->Signal(SIGKILL);
   }
 }
 
@@ -89,8 +90,8 @@
                     const std::string& name) {
   arguments.insert(arguments.begin(),
                    this->options.program_directory + "/" + program);
-  this->children.push_back(std::make_unique<ChildProcess>(
-      arguments, this->options.work_directory + "/" + name + ".log"));
+  this->children[name] = std::make_unique<ChildProcess>(
+      arguments, this->options.work_directory + "/" + name + ".log");
 }
 
 void Cluster::StartStandIns() {
@@ -135,21 +136,21 @@
   }
   const std::string path =
       this->options.work_directory + "/" + host.id + ".json";
-  WriteJson(path,
-            boost::json::object{{"id", host.id},
-                                {"domain", host.domain},
-                                {"region", host.region},
-                                {"listen", host.listen},
-                                {"peer_listen", host.peer_listen},
-                                {"platform", this->ControlAddress(kPlatform)},
-                                {"host_list", this->ControlAddress(kHostList)},
-                                {"peers", std::move(peers)},
-                                {"fleet_key", "experiment-fleet-key"},
-                                {"operator_key", "experiment-operator-key"},
-                                {"policy", this->options.policy},
-                                {"balancer_lag_ms", 0},
-                                {"shutdown_timeout_ms", 500},
-                                {"log_level", "warn"}});
+  WriteJson(path, boost::json::object{
+                      {"id", host.id},
+                      {"domain", host.domain},
+                      {"region", host.region},
+                      {"listen", host.listen},
+                      {"peer_listen", host.peer_listen},
+                      {"platform", this->ControlAddress(kPlatform)},
+                      {"host_list", this->ControlAddress(kHostList)},
+                      {"peers", std::move(peers)},
+                      {"fleet_key", "experiment-fleet-key"},
+                      {"operator_key", "experiment-operator-key"},
+                      {"policy", this->options.policy},
+                      {"balancer_lag_ms", this->options.balancer_lag_ms},
+                      {"shutdown_timeout_ms", 10'000},
+                      {"log_level", "warn"}});
   this->Start("auburnyardd", {"--settings", path}, host.id);
 }
 
@@ -203,4 +204,34 @@
        boost::json::object{});
 }
 
+void Cluster::Signal(const std::string& name, int number) const {
+  this->children.at(name)->Signal(number);
+}
+
+bool Cluster::StopHost(const std::string& id) {
+  this->children.at(id)->Signal(SIGTERM);
+  return this->children.at(id)->WaitForExit();
+}
+
+void Cluster::RestartHost(const std::string& id) {
+  for (const ShapeHost& host : this->cluster_shape.hosts) {
+    if (host.id == id) {
+      this->children.at(id)->WaitForExit();
+      this->StartHost(host);
+      WaitFor(host.listen, "/readyz");
+    }
+  }
+}
+
+boost::json::value Cluster::Audit(const std::string& request_id) const {
+  HttpCall call;
+  call.path = "/v1/audit?request_id=" + EncodePercent(request_id);
+  return boost::json::parse(
+      CallHttp(this->ControlAddress(kTargetControl), call, kCallTimeout).body);
+}
+
+std::string Cluster::PlatformAddress() const {
+  return this->ControlAddress(kPlatform);
+}
+
 }  // namespace auburnyard::util
--- a/util/experiment/cluster.h
+++ b/util/experiment/cluster.h
@@ -2,6 +2,7 @@
 #define AUBURNYARD_UTIL_EXPERIMENT_CLUSTER_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
   std::uint16_t base_port = 21'000;
   double median_ms = 40;
   std::uint64_t seed = 1;
+  std::uint32_t balancer_lag_ms = 0;
 };
 
 /// Stand-ins and entry hosts of one shape.
@@ -39,6 +41,16 @@
   void TakeOut(const std::string& domain);
   boost::json::value TargetStatus() const;
   void ResetTargetRecords() const;
+  /// Sends a signal to a process: "platform", "host-list", "targets" or the
+  /// identifier of a host. Throws std::out_of_range.
+  void Signal(const std::string& name, int number) const;
+  /// Asks a host to end and waits; false if it does not within 10 s.
+  bool StopHost(const std::string& id);
+  /// Starts a host that has ended and waits until it is ready.
+  void RestartHost(const std::string& id);
+  /// Starts that the targets recorded for a request, by request and shard.
+  boost::json::value Audit(const std::string& request_id) const;
+  std::string PlatformAddress() const;
   const Shape& shape() const { return this->cluster_shape; }
 
  private:
@@ -53,7 +65,7 @@
   Shape cluster_shape;
   ClusterOptions options;
   std::uint64_t revision = 1;
-  std::vector<std::unique_ptr<ChildProcess>> children;
+  std::map<std::string, std::unique_ptr<ChildProcess>> children;
 };
 
 }  // namespace auburnyard::util
--- a/util/target_standin/target_service.cc
+++ b/util/target_standin/target_service.cc
@@ -209,7 +209,9 @@
   const Cancellation cancellation = this->model.Cancel(
       request.Header("X-Attempt-Id"), "cancelled", this->clock.Now());
   if (cancellation.outcome == CancelOutcome::kUnknown) {
-    return JsonReply({{"state", "unknown"}}, 404);
+    HttpResponse unknown = JsonReply({{"state", "unknown"}}, 404);
+    this->AddReportHeaders(unknown);
+    return unknown;
   }
   const bool queued = cancellation.outcome == CancelOutcome::kNotStarted;
   HttpResponse reply = queued ? this->RefusalReply("cancelled before start")
