--- a/src/daemon/configuration_gossip.h
+++ b/src/daemon/configuration_gossip.h
@@ -8,12 +8,12 @@
 #include <string>
 #include <vector>
 
+#include "auburnyard.pb.h"
 #include "auburnyard/clock.h"
 #include "auburnyard/configuration_store.h"
 #include "auburnyard/knowledge.h"
 #include "src/daemon/host_status.h"
 #include "src/daemon/watcher_hooks.h"
-#include "src/proto/auburnyard.pb.h"
 
 namespace auburnyard {
 
