--- a/src/daemon/entry_host.cc
+++ b/src/daemon/entry_host.cc
@@ -439,6 +439,8 @@
   LogEvent(spdlog::level::info, "shutdown started",
            {{"balancer_lag_ms", this->settings.balancer_lag.count()}});
   this->draining = true;
+  // Clients of kept connections move to other hosts before this one ends.
+  this->server->CloseAfterResponses();
   this->shutdown_timer.expires_after(this->settings.balancer_lag);
   this->shutdown_timer.async_wait([this](boost::system::error_code error) {
     if (!error) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -46,6 +46,8 @@
   /// Binds and accepts. Port 0 takes a free port. Throws Error(kConnection).
   void Listen(const std::string& host, std::uint16_t port);
   std::uint16_t port() const { return this->bound_port; }
+  /// Goes on accepting, but closes each connection after its next response.
+  void CloseAfterResponses() { this->is_stopping = true; }
   /// Stops accepting; open connections close after the request they are
   /// serving.
   void StopAccepting();
