Keep the session's watch from blocking its strand

Cause: readiness without bytes made the peek of the watch block, because the socket was in blocking mode for synchronous calls. The worker thread and the response on the same strand then waited for the client, and the query got no answer. This explains the unanswered queries of EveryHostIsReplacedUnderLoad better than an error "would block", which a blocking call cannot return. Ruled out: the query machine and the owners (the host answered others). Change: the socket does not block. Conclusion: to be confirmed by repeated runs.

--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -62,6 +62,9 @@
 void HttpSession::Start() {
   boost::beast::error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  // The peek of the watch must not block the strand when there is nothing to
+  // read.
+  this->socket.non_blocking(true, ignored);
   asio::dispatch(this->socket.get_executor(),
                  [self = this->shared_from_this()] { self->Read(); });
 }
