Follow the store with one watch and register each host

On the grown site 470,744 connections were opened, 399,942 of them reset over the cap, because each host kept one to each target. Change: one watch on all keys, changes fetched together; each host keeps a key under a lease, and shares are computed from the number of hosts.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -124,6 +124,7 @@
   void HedgeDue(std::uint32_t index, TimePoint now);
   /// Retries a part whose attempts have all ended, or gives it up.
   void Continue(std::uint32_t index, TimePoint now);
+  static bool HasOpenAttempt(const Part& part);
   bool MayRepeat(const Part& part) const;
   void Settle(Part& part);
   void CheckProgress(TimePoint now);
--- /dev/null
+++ b/include/auburnyard/host_entry.h
@@ -0,0 +1,19 @@
+#ifndef AUBURNYARD_HOST_ENTRY_H_
+#define AUBURNYARD_HOST_ENTRY_H_
+
+#include <string>
+
+namespace auburnyard {
+
+/// What an entry host registers about itself.
+struct HostEntry {
+  std::string name;
+  std::string address;  ///< IP:port for requests of other entry hosts
+  std::string failure_domain;
+
+  bool operator==(const HostEntry&) const = default;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_HOST_ENTRY_H_
--- /dev/null
+++ b/include/auburnyard/host_table.h
@@ -0,0 +1,44 @@
+#ifndef AUBURNYARD_HOST_TABLE_H_
+#define AUBURNYARD_HOST_TABLE_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "auburnyard/clock.h"
+#include "auburnyard/host_entry.h"
+
+namespace auburnyard {
+
+/// Registered entry hosts. A host whose registration is gone still counts for a
+/// while, because it may be alive and out of reach of the store.
+class HostTable {
+ public:
+  void Upsert(const HostEntry& entry);
+  void Remove(std::string_view name, TimePoint now);
+  /// Replaces all registrations.
+  void Reset(const std::vector<HostEntry>& entries, TimePoint now);
+
+  /// Hosts that may use what all hosts share; at least 1.
+  std::size_t Sharing(TimePoint now) const;
+  /// Registered hosts of a failure domain.
+  std::vector<HostEntry> InDomain(std::string_view domain) const;
+  /// Position of a host among the hosts that share, in an order that depends on
+  /// `key`; every host with the same view computes the same order.
+  std::size_t Rank(std::string_view name,
+                   std::string_view key,
+                   TimePoint now) const;
+
+ private:
+  struct Known {
+    HostEntry entry;
+    bool registered = true;
+    TimePoint counts_until{};
+  };
+  std::map<std::string, Known, std::less<>> hosts;  // by name
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_HOST_TABLE_H_
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -53,7 +53,9 @@
   if (target == nullptr) {
     return false;
   }
-  if (part.arrived && !this->hooks.repeat(part.service, purpose)) {
+  // An attempt that still waits for a connection may arrive as well.
+  const bool extra = part.arrived || HasOpenAttempt(part);
+  if (extra && !this->hooks.repeat(part.service, purpose)) {
     return false;
   }
   this->repeat_count += purpose == AttemptPurpose::kFirst ? 0 : 1;
@@ -142,6 +144,11 @@
   }
 }
 
+bool FanOut::HasOpenAttempt(const Part& part) {
+  return std::any_of(part.attempts.begin(), part.attempts.end(),
+                     [](const Attempt& attempt) { return attempt.open; });
+}
+
 bool FanOut::MayRepeat(const Part& part) const {
   if (part.attempts.size() >= kMostAttempts ||
       part.executions >= this->request.route->max_attempts) {
@@ -152,10 +159,7 @@
 
 void FanOut::Continue(std::uint32_t index, TimePoint now) {
   Part& part = this->parts[index];
-  const bool waiting =
-      std::any_of(part.attempts.begin(), part.attempts.end(),
-                  [](const Attempt& attempt) { return attempt.open; });
-  if (waiting) {
+  if (HasOpenAttempt(part)) {
     return;
   }
   if (this->MayRepeat(part) &&
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -47,7 +47,8 @@
       context{this->io, this->clock, this->dialect.wire},
       targets(this->context,
               {this->settings.failure_domain, this->settings.region},
-              this->settings.domain_regions),
+              this->settings.domain_regions,
+              this->hosts),
       service(this->context,
               this->targets,
               this->metrics,
@@ -59,6 +60,7 @@
                std::hash<std::string>()(this->settings.host_name),
                this->service,
                this->targets,
+               this->hosts,
                this->metrics),
       callers(this->context,
               {.handle =
@@ -106,6 +108,7 @@
   this->ListenForHealth();
   this->callers.Listen(Endpoint(this->settings.callers_address));
   this->follower.Start();
+  this->Register();
   this->WaitForSignal();
   this->Sweep();
   this->io.run();
@@ -113,6 +116,22 @@
            {{"host", this->settings.host_name}});
 }
 
+void RelayHost::Register() {
+  StoreRegistration::Hooks hooks;
+  hooks.on_call = [this](std::string_view kind, bool success) {
+    this->metrics.CountStoreCall(kind, success);
+  };
+  this->registration = std::make_shared<StoreRegistration>(
+      this->context, this->dialect.store,
+      ParseHostPort(this->settings.store_address),
+      this->dialect.schema.encode_host(
+          {.name = this->settings.host_name,
+           .address = this->settings.peers_address,
+           .failure_domain = this->settings.failure_domain}),
+      std::hash<std::string>()(this->settings.host_name), std::move(hooks));
+  this->registration->Start();
+}
+
 void RelayHost::WaitForSignal() {
   this->signals.async_wait([this](boost::system::error_code error, int number) {
     if (error) {
@@ -148,6 +167,7 @@
            {{"sessions", this->callers.sessions()}});
   this->draining_since = this->clock.Now();
   this->callers.CloseAfterResponses();
+  this->registration->Release();
 }
 
 void RelayHost::Sweep() {
--- a/src/relay/relay_host.h
+++ b/src/relay/relay_host.h
@@ -11,6 +11,7 @@
 #include "src/relay/caller_server.h"
 #include "src/relay/relay_settings.h"
 #include "src/relay/store_follower.h"
+#include "src/relay/store_registration.h"
 
 namespace auburnyard {
 
@@ -33,6 +34,7 @@
 
  private:
   void ListenForHealth();
+  void Register();
   void WaitForSignal();
   void OnTerminate();
   void OnReload();
@@ -47,10 +49,12 @@
   Clock clock;
   RelayContext context;
   RelayMetrics metrics;
+  HostTable hosts;
   TargetTable targets;
   RelayService service;
   StoreFollower follower;
   CallerServer callers;
+  std::shared_ptr<StoreRegistration> registration;
   std::shared_ptr<HttpServer> readiness;
   std::shared_ptr<HttpServer> metrics_server;
   boost::asio::signal_set signals;
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -53,9 +53,10 @@
     settings.domain_regions.emplace(domain, region.as_string());
   }
   const detail::JsonReader listen = reader.Child("listen");
-  listen.AllowOnly({"callers", "readiness", "metrics_port"});
+  listen.AllowOnly({"callers", "readiness", "peers", "metrics_port"});
   settings.callers_address = Address(listen, "callers");
   settings.readiness_address = Address(listen, "readiness");
+  settings.peers_address = Address(listen, "peers");
   settings.metrics_port = static_cast<std::uint32_t>(
       listen.Integer("metrics_port", 0, kMaxPort, 0));
   const detail::JsonReader store = reader.Child("store");
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -16,6 +16,7 @@
   std::map<std::string, std::string, std::less<>> domain_regions;
   std::string callers_address;    ///< IP:port
   std::string readiness_address;  ///< IP:port
+  std::string peers_address;      ///< IP:port for other entry hosts
   std::uint32_t metrics_port = 0;
   std::string store_address;  ///< IP:port
   std::chrono::seconds shutdown_time{6};
--- a/src/relay/store_change.h
+++ b/src/relay/store_change.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "auburnyard/host_entry.h"
 #include "auburnyard/route_table.h"
 #include "auburnyard/target_entry.h"
 #include "src/relay/store_wire.h"
@@ -25,6 +26,12 @@
 struct TargetUnregistered {
   std::string id;
 };
+struct HostRegistered {
+  HostEntry entry;
+};
+struct HostUnregistered {
+  std::string name;
+};
 /// A key that says nothing about the relay.
 struct UnrelatedKey {};
 
@@ -32,16 +39,19 @@
                                  RoutesChanged,
                                  DomainEvacuation,
                                  TargetRegistered,
-                                 TargetUnregistered>;
+                                 TargetUnregistered,
+                                 HostRegistered,
+                                 HostUnregistered>;
 
 /// What a key of the store means. Supplied by the adapter of the deployment.
 struct StoreSchema {
-  std::string operator_prefix;
   std::string target_prefix;
   /// Throws Error(kProtocol) if the value cannot be read.
   std::function<StoreChange(const StoreItem& item)> decode;
   /// Identifier of the target that the key registers.
   std::function<std::string(const StoreItem& item)> target_id;
+  /// Key and value of a host's own registration.
+  std::function<StoreItem(const HostEntry& entry)> encode_host;
 };
 
 }  // namespace auburnyard
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -14,47 +14,34 @@
                              std::uint64_t seed,
                              RelayService& relay_service,
                              TargetTable& target_table,
+                             HostTable& host_table,
                              RelayMetrics& relay_metrics)
     : schema(store_schema),
       service(relay_service),
+      clock(context.clock),
       targets(target_table),
+      hosts(host_table),
       metrics(relay_metrics) {
-  StoreWatch::Hooks for_operator = this->CommonHooks();
-  for_operator.on_snapshot = [this](const std::vector<StoreItem>& items) {
-    this->OnOperatorSnapshot(items);
-  };
-  this->operator_watch = std::make_shared<StoreWatch>(
-      context, wire, store, this->schema.operator_prefix, seed,
-      std::move(for_operator));
-  StoreWatch::Hooks for_targets = this->CommonHooks();
-  for_targets.on_snapshot = [this](const std::vector<StoreItem>& items) {
-    this->OnTargetSnapshot(items);
-  };
-  for_targets.on_regained = [this] { this->targets.OnStoreRegained(); };
-  this->target_watch = std::make_shared<StoreWatch>(
-      context, wire, store, this->schema.target_prefix, seed + 1,
-      std::move(for_targets));
-}
-
-StoreWatch::Hooks StoreFollower::CommonHooks() {
   StoreWatch::Hooks hooks;
+  hooks.on_snapshot = [this](const std::vector<StoreItem>& items) {
+    this->OnSnapshot(items);
+  };
   hooks.on_change = [this](const StoreItem& item) { this->Apply(item); };
-  hooks.on_lost = [] {};
-  hooks.on_regained = [] {};
+  hooks.on_regained = [this] { this->targets.OnStoreRegained(); };
   hooks.on_call = [this](std::string_view kind, bool success) {
     this->metrics.CountStoreCall(kind, success);
   };
-  return hooks;
+  this->watch =
+      std::make_shared<StoreWatch>(context, wire, store,
+                                   /*key_prefix=*/"", seed, std::move(hooks));
 }
 
 void StoreFollower::Start() {
-  this->operator_watch->Start();
-  this->target_watch->Start();
+  this->watch->Start();
 }
 
 void StoreFollower::Stop() {
-  this->operator_watch->Stop();
-  this->target_watch->Stop();
+  this->watch->Stop();
 }
 
 bool StoreFollower::synchronized() const {
@@ -87,31 +74,32 @@
     this->targets.Upsert(added->entry);
   } else if (const auto* gone = std::get_if<TargetUnregistered>(&change)) {
     this->targets.Remove(gone->id);
+  } else if (const auto* host = std::get_if<HostRegistered>(&change)) {
+    this->hosts.Upsert(host->entry);
+  } else if (const auto* left = std::get_if<HostUnregistered>(&change)) {
+    this->hosts.Remove(left->name, this->clock.Now());
   }
 }
 
-void StoreFollower::OnOperatorSnapshot(const std::vector<StoreItem>& items) {
+void StoreFollower::OnSnapshot(const std::vector<StoreItem>& items) {
   std::set<std::string, std::less<>> evacuated;
+  std::vector<TargetEntry> registered_targets;
+  std::vector<HostEntry> registered_hosts;
   for (const StoreItem& item : items) {
     const StoreChange change = this->Decode(item);
     if (const auto* routes = std::get_if<RoutesChanged>(&change)) {
       this->service.SetRoutes(routes->table);
     } else if (const auto* domain = std::get_if<DomainEvacuation>(&change)) {
       evacuated.insert(domain->domain);
+    } else if (const auto* target = std::get_if<TargetRegistered>(&change)) {
+      registered_targets.push_back(target->entry);
+    } else if (const auto* host = std::get_if<HostRegistered>(&change)) {
+      registered_hosts.push_back(host->entry);
     }
   }
   this->targets.ResetEvacuated(evacuated);
-}
-
-void StoreFollower::OnTargetSnapshot(const std::vector<StoreItem>& items) {
-  std::vector<TargetEntry> entries;
-  for (const StoreItem& item : items) {
-    const StoreChange change = this->Decode(item);
-    if (const auto* added = std::get_if<TargetRegistered>(&change)) {
-      entries.push_back(added->entry);
-    }
-  }
-  this->targets.Reset(entries);
+  this->hosts.Reset(registered_hosts, this->clock.Now());
+  this->targets.Reset(registered_targets);
 }
 
 }  // namespace auburnyard
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -3,13 +3,15 @@
 
 #include <memory>
 
+#include "auburnyard/host_table.h"
 #include "src/relay/relay_service.h"
 #include "src/relay/store_change.h"
 #include "src/relay/store_watch.h"
 
 namespace auburnyard {
 
-/// Keeps routes, evacuations and targets as the store has them.
+/// Keeps routes, evacuations, targets and entry hosts as the store has them.
+/// One watch follows all keys, because each call has a price.
 class StoreFollower {
  public:
   StoreFollower(const RelayContext& context,
@@ -19,6 +21,7 @@
                 std::uint64_t seed,
                 RelayService& service,
                 TargetTable& targets,
+                HostTable& hosts,
                 RelayMetrics& metrics);
 
   void Start();
@@ -27,18 +30,17 @@
   bool synchronized() const;
 
  private:
-  StoreWatch::Hooks CommonHooks();
-  void OnOperatorSnapshot(const std::vector<StoreItem>& items);
-  void OnTargetSnapshot(const std::vector<StoreItem>& items);
+  void OnSnapshot(const std::vector<StoreItem>& items);
   void Apply(const StoreItem& item);
   StoreChange Decode(const StoreItem& item);
 
   const StoreSchema& schema;
   RelayService& service;
+  const Clock& clock;
   TargetTable& targets;
+  HostTable& hosts;
   RelayMetrics& metrics;
-  std::shared_ptr<StoreWatch> operator_watch;
-  std::shared_ptr<StoreWatch> target_watch;
+  std::shared_ptr<StoreWatch> watch;
 };
 
 }  // namespace auburnyard
--- /dev/null
+++ b/src/relay/store_registration.h
@@ -0,0 +1,60 @@
+#ifndef AUBURNYARD_SRC_RELAY_STORE_REGISTRATION_H_
+#define AUBURNYARD_SRC_RELAY_STORE_REGISTRATION_H_
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "auburnyard/backoff.h"
+#include "src/net/http_client.h"
+#include "src/relay/relay_context.h"
+#include "src/relay/store_wire.h"
+
+namespace auburnyard {
+
+/// Keeps one key in the store under a lease, and removes it at the end.
+class StoreRegistration
+    : public std::enable_shared_from_this<StoreRegistration> {
+ public:
+  struct Hooks {
+    std::function<void(std::string_view kind, bool success)> on_call;
+  };
+
+  StoreRegistration(const RelayContext& context,
+                    const StoreWire& wire,
+                    HostPort store,
+                    StoreItem item,
+                    std::uint64_t seed,
+                    Hooks hooks);
+
+  void Start();
+  /// Ends the lease, so that others learn at once that the host leaves.
+  void Release();
+
+ private:
+  void Acquire();
+  void Put();
+  void Renew();
+  void Call(const HttpCall& call,
+            std::string_view kind,
+            std::function<void(const HttpResponse&)> next);
+  void After(Duration delay, void (StoreRegistration::*next)());
+  void Retry();
+
+  const RelayContext& context;
+  const StoreWire& wire;
+  HostPort store;
+  StoreItem item;
+  Hooks hooks;
+  boost::asio::steady_timer timer;
+  Backoff backoff;
+  std::shared_ptr<HttpConnection> connection;
+  std::uint64_t lease = 0;  // 0: none
+  bool written = false;     // the key was written under the lease
+  bool released = false;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_RELAY_STORE_REGISTRATION_H_
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -13,12 +13,12 @@
 
 // A connection to the store can go silent without a reset. A short wait bounds
 // how long that goes unnoticed.
-constexpr milliseconds kWatchWait{3'000};
+constexpr milliseconds kWatchWait{3'500};
 // Beyond the wait of a watch: a round trip and a slow answer.
 constexpr milliseconds kWatchGrace{1'000};
 constexpr milliseconds kReadTimeout{2'000};
 // Changes that come close together are fetched by one call.
-constexpr milliseconds kWatchPause{100};
+constexpr milliseconds kWatchPause{400};
 // Delay between attempts while the store does not answer.
 constexpr milliseconds kLongestRetry{800};
 constexpr int kStatusOk = 200;
@@ -101,7 +101,6 @@
               {"call", what},
               {"error", error},
               {"revision", this->revision}});
-    this->hooks.on_lost();
   }
   this->After(std::min<Duration>(this->backoff.Next(), kLongestRetry),
               this->has_snapshot ? &StoreWatch::Watch : &StoreWatch::ReadPage);
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -24,7 +24,6 @@
     /// All keys, in place of what was known.
     std::function<void(const std::vector<StoreItem>&)> on_snapshot;
     std::function<void(const StoreItem&)> on_change;
-    std::function<void()> on_lost;
     /// The store answers again. Called before the first news after it.
     std::function<void()> on_regained;
     std::function<void(std::string_view kind, bool success)> on_call;
--- a/src/relay/store_wire.h
+++ b/src/relay/store_wire.h
@@ -39,8 +39,19 @@
       encode_watch;
   std::function<StorePage(const HttpResponse& response)> decode_range;
   std::function<StorePage(const HttpResponse& response)> decode_watch;
+  std::function<HttpCall(std::chrono::milliseconds lifetime)> encode_lease;
+  std::function<std::uint64_t(const HttpResponse& response)> decode_lease;
+  std::function<HttpCall(std::uint64_t lease)> encode_renewal;
+  std::function<HttpCall(std::uint64_t lease)> encode_release;
+  /// Writes a key that is removed when the lease ends.
+  std::function<HttpCall(std::string_view key,
+                         std::string_view value,
+                         std::uint64_t lease)>
+      encode_put;
   /// The store no longer has the history that the watch needs.
   std::function<bool(const HttpResponse& response)> history_lost;
+  /// The lease that the call names has ended.
+  std::function<bool(const HttpResponse& response)> lease_ended;
 };
 
 }  // namespace auburnyard
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -28,6 +28,10 @@
 // A request that must not run twice is not sent on a connection that was idle
 // for longer, because the target may be closing it.
 constexpr std::chrono::seconds kFreshFor{2};
+// A target at its connection limit resets new connections; opening them ahead
+// of need is then tried more and more rarely.
+constexpr milliseconds kShortestWarmUpDelay{500};
+constexpr milliseconds kLongestWarmUpDelay{16'000};
 
 }  // namespace
 
@@ -121,9 +125,14 @@
 }
 
 void TargetPool::WarmUp() {
-  if (this->all.empty() && !this->is_retired) {
-    this->Open();
+  const TimePoint now = this->context.clock.Now();
+  if (!this->all.empty() || this->is_retired || now < this->next_warm_up) {
+    return;
   }
+  this->warm_up_delay = std::clamp<Duration>(
+      this->warm_up_delay * 2, kShortestWarmUpDelay, kLongestWarmUpDelay);
+  this->next_warm_up = now + this->warm_up_delay;
+  this->Open();
 }
 
 void TargetPool::Open() {
@@ -207,6 +216,7 @@
     this->state->OnFailed(sent_at, now);
   } else {
     this->state->OnReply(sent_at, now);
+    this->warm_up_delay = {};
   }
   if (!connection->open() || this->is_retired) {
     connection->Close();
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -62,6 +62,8 @@
   std::size_t connection_limit = 1;
   std::vector<TargetConnectionPtr> all;
   std::deque<TargetExchangePtr> waiting;  // by priority, then by arrival
+  TimePoint next_warm_up{};
+  Duration warm_up_delay{};  // doubles while connections do not last
   bool is_retired = false;
 };
 
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -17,18 +17,20 @@
 constexpr milliseconds kWarmUpInterval{500};
 // Share of a target's connections that all hosts together use.
 constexpr double kConnectionShare = 0.8;
-// Hosts that share a target's connections.
-constexpr double kExpectedHosts = 10;
+// Hosts that are assumed before the registrations of the others are known.
+constexpr std::size_t kFewestHosts = 6;
 constexpr std::size_t kMostConnections = 8;
 
 }  // namespace
 
 TargetTable::TargetTable(const RelayContext& relay_context,
                          Place here,
-                         DomainRegions domain_regions)
+                         DomainRegions domain_regions,
+                         const HostTable& host_table)
     : context(relay_context),
       place(std::move(here)),
-      regions(std::move(domain_regions)) {}
+      regions(std::move(domain_regions)),
+      hosts(host_table) {}
 
 std::string_view TargetTable::RegionOf(std::string_view domain) const {
   const auto found = this->regions.find(domain);
@@ -172,17 +174,22 @@
   }
 }
 
-void TargetTable::ApplyLimits(TargetPool& pool) const {
+double TargetTable::ConnectionShare(std::string_view service) const {
   const ServiceLimits* limits =
-      this->routes == nullptr
-          ? nullptr
-          : this->routes->Service(pool.target()->entry().service);
-  if (limits != nullptr) {
-    const auto share = static_cast<std::size_t>(
-        limits->max_connections * kConnectionShare / kExpectedHosts);
-    pool.SetConnectionLimit(
-        std::clamp<std::size_t>(share, 1, kMostConnections));
+      this->routes == nullptr ? nullptr : this->routes->Service(service);
+  if (limits == nullptr) {
+    return 0;
   }
+  const std::size_t sharing =
+      std::max(kFewestHosts, this->hosts.Sharing(this->context.clock.Now()));
+  return limits->max_connections * kConnectionShare /
+         static_cast<double>(sharing);
+}
+
+void TargetTable::ApplyLimits(TargetPool& pool) const {
+  const double share = this->ConnectionShare(pool.target()->entry().service);
+  pool.SetConnectionLimit(std::clamp<std::size_t>(
+      static_cast<std::size_t>(share), 1, kMostConnections));
 }
 
 bool TargetTable::MayReceive(
@@ -244,10 +251,12 @@
   }
   for (const auto& [id, pool] : this->pools) {
     pool->Sweep();
-    if (warm_up && this->MayReceive(*pool->target(), {}) &&
-        this->routes != nullptr &&
-        this->routes->Service(pool->target()->entry().service) != nullptr) {
-      pool->WarmUp();
+    if (warm_up) {
+      this->ApplyLimits(*pool);
+      if (this->MayReceive(*pool->target(), {}) &&
+          this->ConnectionShare(pool->target()->entry().service) >= 1) {
+        pool->WarmUp();
+      }
     }
   }
   for (const PoolPtr& pool : this->retired) {
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "auburnyard/host_table.h"
 #include "auburnyard/route_table.h"
 #include "auburnyard/target_state.h"
 #include "src/relay/target_pool.h"
@@ -26,7 +27,10 @@
     std::string region;
   };
 
-  TargetTable(const RelayContext& context, Place here, DomainRegions regions);
+  TargetTable(const RelayContext& context,
+              Place here,
+              DomainRegions regions,
+              const HostTable& hosts);
 
   /// Adds a target or takes over its changed registration.
   void Upsert(const TargetEntry& entry);
@@ -60,12 +64,15 @@
   void Add(const TargetEntry& entry);
   void Discard(std::string_view id);
   void ApplyLimits(TargetPool& pool) const;
+  /// Connections to each target of the service that this host may use.
+  double ConnectionShare(std::string_view service) const;
   Distance DistanceOf(std::string_view domain) const;
   std::string_view RegionOf(std::string_view domain) const;
 
   const RelayContext& context;
   Place place;
   DomainRegions regions;
+  const HostTable& hosts;
   std::shared_ptr<const RouteTable> routes;
   std::map<std::string, PoolPtr, std::less<>> pools;  // by target
   std::map<std::string, std::vector<TargetPtr>, std::less<>> by_service;
