--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -47,7 +47,7 @@
   /// Merged answer, reply of a single target, or refusal.
   enum class Kind { kMerged, kReply, kRefusal };
   Kind kind = Kind::kRefusal;
-  RelayReply reply;                       // kReply
+  RelayReply reply;                        // kReply
   std::string records;                     // kMerged
   std::vector<std::string> signatures;     // kMerged
   std::size_t missing = 0;                 // kMerged: parts left out
@@ -113,9 +113,9 @@
     std::vector<TargetPtr> tried;
     TimePoint hedge_at = TimePoint::max();
     bool settled = false;
-    bool answered = false;               // its part is in the answer
-    bool arrived = false;                // an attempt reached a target
-    std::uint32_t executions = 0;        // attempts that may have run
+    bool answered = false;              // its part is in the answer
+    bool arrived = false;               // an attempt reached a target
+    std::uint32_t executions = 0;       // attempts that may have run
     std::optional<RelayReply> failure;  // a failure reply of a target
   };
 
