Fetch far parts as bundles from a host near their targets

Change: parts whose best target is in another failure domain go to one entry host there, which answers in the time that is left with one merged part.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -23,6 +23,8 @@
   std::string signature;  ///< of the target for this execution; may be empty
   std::string body;
   std::string head;  ///< encoded headers that are passed on with the reply
+  /// Of the parts in a merged reply of another entry host.
+  std::vector<std::string> part_signatures;
 
   bool success() const { return this->status / 100 == 2; }
 };
@@ -40,6 +42,12 @@
   std::uint32_t attempt = 0;
 };
 
+/// Parts that an entry host near their targets fetches and merges.
+struct PartBundle {
+  TargetPtr host;
+  std::vector<std::uint32_t> parts;
+};
+
 enum class AttemptPurpose { kFirst, kRetry, kHedge };
 
 /// What a finished request gives its caller.
@@ -59,6 +67,8 @@
   const Route* route = nullptr;  ///< must outlive the request
   /// Services to ask, one part each.
   std::vector<std::string_view> services;
+  /// Parts that do not start as attempts of their own.
+  std::vector<PartBundle> bundles;
   TimePoint arrival{};
   TimePoint answer_by{};  ///< answer with what is there, if that is enough
   TimePoint deadline{};
@@ -76,6 +86,10 @@
   /// The attempt's result is not needed any more.
   std::function<void(PartAttempt id)> abandon;
   std::function<void(FanOutResult result)> finish;
+  /// Targets that are registered for the service.
+  std::function<std::size_t(std::string_view service)> replicas;
+  std::function<void(std::uint32_t bundle, const TargetPtr& host)> send_bundle;
+  std::function<void(std::uint32_t bundle)> abandon_bundle;
 };
 
 /// One request at the targets: a part for each shard, or a single part that is
@@ -90,6 +104,9 @@
   void OnSent(PartAttempt id);
   void OnReply(PartAttempt id, RelayReply reply, TimePoint now);
   void OnFailure(PartAttempt id, PartFailure failure, TimePoint now);
+  void OnBundleSent(std::uint32_t index);
+  void OnBundleReply(std::uint32_t index, RelayReply reply, TimePoint now);
+  void OnBundleFailure(std::uint32_t index, PartFailure failure, TimePoint now);
   void OnTimer(TimePoint now);
   /// The caller has left.
   void Cancel();
@@ -107,18 +124,41 @@
     bool sent = false;
     bool open = true;
   };
+  struct Bundle;
   struct Part {
     std::string_view service;
     std::vector<Attempt> attempts;
     std::vector<TargetPtr> tried;
     TimePoint hedge_at = TimePoint::max();
     bool settled = false;
+    /// Reply to an attempt of its own while its bundle may still answer.
+    std::optional<RelayReply> held;
+    const Bundle* bundle = nullptr;
     bool answered = false;              // its part is in the answer
     bool arrived = false;               // an attempt reached a target
     std::uint32_t executions = 0;       // attempts that may have run
     std::optional<RelayReply> failure;  // a failure reply of a target
   };
 
+  struct Bundle {
+    TargetPtr host;
+    std::vector<std::uint32_t> parts;
+    TimePoint give_up_at = TimePoint::max();
+    bool open = true;
+    bool sent = false;
+    bool split = false;  // its parts have started attempts of their own
+  };
+
+  void StartBundles();
+  /// Starts attempts for the parts of a bundle that is late or lost.
+  void SplitBundle(Bundle& bundle, TimePoint now);
+  void TakeBundle(Bundle& bundle, RelayReply reply);
+  void TakePart(Part& part, RelayReply reply);
+  void TakeHeldParts();
+  bool MaySplit(const Bundle& bundle) const;
+  /// Retries or gives up what a bundle did not answer.
+  void ContinueParts(const Bundle& bundle, TimePoint now);
+  void AbandonAttempts(std::uint32_t index);
   bool StartAttempt(std::uint32_t part, AttemptPurpose purpose, TimePoint now);
   void ScheduleHedge(Part& part, const TargetPtr& target, TimePoint now) const;
   void HedgeDue(std::uint32_t index, TimePoint now);
@@ -139,6 +179,7 @@
   FanOutPlan request;
   FanOutHooks hooks;
   std::vector<Part> parts;
+  std::vector<Bundle> bundles;
   RecordMerger merger;
   std::vector<std::string> signatures;
   std::size_t open_parts;
--- a/include/auburnyard/host_table.h
+++ b/include/auburnyard/host_table.h
@@ -22,6 +22,8 @@
 
   /// Hosts that may use what all hosts share; at least 1.
   std::size_t Sharing(TimePoint now) const;
+  /// Failure domains with registered hosts.
+  std::vector<std::string> Domains() const;
   /// Registered hosts of a failure domain.
   std::vector<HostEntry> InDomain(std::string_view domain) const;
   /// Position of a host among the hosts that share, in an order that depends on
--- a/include/auburnyard/repeat_budget.h
+++ b/include/auburnyard/repeat_budget.h
@@ -21,7 +21,8 @@
  public:
   explicit RepeatBudget(RepeatBudgetLimits limits);
 
-  void OnRequest(TimePoint now);
+  /// `share` is less than 1 for a request that another host counts in part.
+  void OnRequest(TimePoint now, double share = 1);
   /// Takes one repeat; false if there is none. `reserve` is the share of the
   /// budget that must remain, for repeats that matter more.
   bool Take(TimePoint now, double reserve = 0);
@@ -30,7 +31,7 @@
  private:
   struct Slice {
     std::int64_t number = -1;
-    std::uint32_t requests = 0;
+    double requests = 0;
     std::uint32_t repeats = 0;
   };
   Slice& SliceAt(TimePoint now);
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -35,8 +35,10 @@
 }
 
 void FanOut::Start(TimePoint now) {
+  this->StartBundles();
   for (std::uint32_t i = 0; i < this->parts.size() && !this->done; ++i) {
-    if (!this->StartAttempt(i, AttemptPurpose::kFirst, now) && !this->done) {
+    if (this->parts[i].bundle == nullptr &&
+        !this->StartAttempt(i, AttemptPurpose::kFirst, now) && !this->done) {
       this->no_target = true;
       ++this->failed_parts;
       this->Settle(this->parts[i]);
@@ -119,17 +121,21 @@
     this->FinishReply(std::move(reply));
     return;
   }
+  if (part.bundle != nullptr && part.bundle->open) {
+    part.answered = true;
+    part.held = std::move(reply);
+  } else {
+    this->TakePart(part, std::move(reply));
+  }
+  this->Settle(part);
+  this->AbandonAttempts(id.part);
+  this->CheckProgress(now);
+}
+
+void FanOut::TakePart(Part& part, RelayReply reply) {
   part.answered = true;
   this->merger.Add(reply.body);
   this->signatures.push_back(std::move(reply.signature));
-  this->Settle(part);
-  for (std::uint32_t i = 0; i < part.attempts.size(); ++i) {
-    if (part.attempts[i].open) {
-      part.attempts[i].open = false;
-      this->hooks.abandon({id.part, i});
-    }
-  }
-  this->CheckProgress(now);
 }
 
 void FanOut::OnFailure(PartAttempt id, PartFailure failure, TimePoint now) {
@@ -145,7 +151,9 @@
 }
 
 bool FanOut::HasOpenAttempt(const Part& part) {
-  return std::any_of(part.attempts.begin(), part.attempts.end(),
+  const bool bundled = part.bundle != nullptr && part.bundle->open;
+  return bundled ||
+         std::any_of(part.attempts.begin(), part.attempts.end(),
                      [](const Attempt& attempt) { return attempt.open; });
 }
 
@@ -229,6 +237,11 @@
       this->HedgeDue(i, now);
     }
   }
+  for (Bundle& bundle : this->bundles) {
+    if (!this->done && bundle.open && bundle.give_up_at <= now) {
+      this->SplitBundle(bundle, now);
+    }
+  }
 }
 
 TimePoint FanOut::NextTimer() const {
@@ -240,6 +253,9 @@
   for (const Part& part : this->parts) {
     next = std::min(next, part.hedge_at);
   }
+  for (const Bundle& bundle : this->bundles) {
+    next = std::min(next, bundle.open ? bundle.give_up_at : TimePoint::max());
+  }
   return next;
 }
 
@@ -253,6 +269,7 @@
 }
 
 void FanOut::FinishMerged() {
+  this->TakeHeldParts();
   FanOutResult result;
   result.kind = FanOutResult::Kind::kMerged;
   result.records = this->merger.Take();
@@ -283,14 +300,24 @@
   this->hooks.finish(std::move(result));
 }
 
+void FanOut::AbandonAttempts(std::uint32_t index) {
+  std::vector<Attempt>& attempts = this->parts[index].attempts;
+  for (std::uint32_t i = 0; i < attempts.size(); ++i) {
+    if (attempts[i].open) {
+      attempts[i].open = false;
+      this->hooks.abandon({index, i});
+    }
+  }
+}
+
 void FanOut::AbandonOpen() {
   for (std::uint32_t i = 0; i < this->parts.size(); ++i) {
-    std::vector<Attempt>& attempts = this->parts[i].attempts;
-    for (std::uint32_t j = 0; j < attempts.size(); ++j) {
-      if (attempts[j].open) {
-        attempts[j].open = false;
-        this->hooks.abandon({i, j});
-      }
+    this->AbandonAttempts(i);
+  }
+  for (std::uint32_t i = 0; i < this->bundles.size(); ++i) {
+    if (this->bundles[i].open) {
+      this->bundles[i].open = false;
+      this->hooks.abandon_bundle(i);
     }
   }
 }
--- a/src/core/host_table.cc
+++ b/src/core/host_table.cc
@@ -47,6 +47,16 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(count));
 }
 
+std::vector<std::string> HostTable::Domains() const {
+  std::set<std::string> domains;
+  for (const auto& [name, known] : this->hosts) {
+    if (known.registered) {
+      domains.insert(known.entry.failure_domain);
+    }
+  }
+  return {domains.begin(), domains.end()};
+}
+
 std::vector<HostEntry> HostTable::InDomain(std::string_view domain) const {
   std::vector<HostEntry> found;
   for (const auto& [name, known] : this->hosts) {
--- a/src/core/repeat_budget.cc
+++ b/src/core/repeat_budget.cc
@@ -30,14 +30,14 @@
   return slice;
 }
 
-void RepeatBudget::OnRequest(TimePoint now) {
-  ++this->SliceAt(now).requests;
+void RepeatBudget::OnRequest(TimePoint now, double share) {
+  this->SliceAt(now).requests += share;
 }
 
 bool RepeatBudget::Take(TimePoint now, double reserve) {
   Slice& current = this->SliceAt(now);
   const auto size = static_cast<std::int64_t>(this->slices.size());
-  std::uint32_t requests = 0;
+  double requests = 0;
   std::uint32_t repeats = 0;
   for (const Slice& slice : this->slices) {
     if (slice.number <= current.number - size) {
--- /dev/null
+++ b/src/relay/peer_table.cc
@@ -0,0 +1,109 @@
+#include "src/relay/peer_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "auburnyard/rendezvous.h"
+
+namespace auburnyard {
+
+namespace {
+
+// Peers of one domain that this host uses, so that few connections stay in use.
+constexpr std::size_t kPeersPerDomain = 4;
+constexpr std::size_t kConnectionsPerPeer = 16;
+// A new connection costs a round trip between regions, so that some are open
+// ahead of need.
+constexpr std::size_t kIdleConnections = 2;
+constexpr std::chrono::milliseconds kWarmUpInterval{250};
+// Requests that a peer carries out at the same time without delay.
+constexpr std::uint32_t kPeerSlots = 16;
+
+}  // namespace
+
+PeerTable::PeerTable(const RelayContext& relay_context,
+                     const HostTable& host_table,
+                     std::string name,
+                     std::string domain)
+    : context(relay_context),
+      hosts(host_table),
+      own_name(std::move(name)),
+      own_domain(std::move(domain)),
+      random(HashText(this->own_name)) {}
+
+TargetPtr PeerTable::PeerOf(const HostEntry& entry) {
+  const auto found = this->pools.find(entry.name);
+  if (found != this->pools.end() &&
+      found->second->target()->entry().address == entry.address) {
+    return found->second->target();
+  }
+  auto state = std::make_shared<TargetState>(
+      TargetEntry{.id = entry.name,
+                  .address = entry.address,
+                  .failure_domain = entry.failure_domain,
+                  .slots = kPeerSlots},
+      Distance::kOtherRegion);
+  auto pool =
+      std::make_shared<TargetPool>(this->context, state, TargetPool::Hooks());
+  pool->SetConnectionLimit(kConnectionsPerPeer);
+  pool->SetLinger(Duration::zero());
+  this->pools[entry.name] = std::move(pool);
+  return state;
+}
+
+std::vector<TargetPtr> PeerTable::Candidates(std::string_view domain) {
+  std::vector<HostEntry> entries = this->hosts.InDomain(domain);
+  std::sort(entries.begin(), entries.end(),
+            [this](const HostEntry& left, const HostEntry& right) {
+              return RanksBefore(this->own_name, left.name, right.name);
+            });
+  entries.resize(std::min(entries.size(), kPeersPerDomain));
+  std::vector<TargetPtr> candidates;
+  for (const HostEntry& entry : entries) {
+    if (entry.name != this->own_name) {
+      candidates.push_back(this->PeerOf(entry));
+    }
+  }
+  return candidates;
+}
+
+// The better of two at random: the best of all would draw the requests of all
+// hosts that share this view.
+TargetPtr PeerTable::Choose(std::string_view domain) {
+  std::vector<TargetPtr> candidates = this->Candidates(domain);
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  std::shuffle(candidates.begin(), candidates.end(), this->random);
+  const TimePoint now = this->context.clock.Now();
+  if (candidates.size() > 1 &&
+      candidates[1]->Cost(now) < candidates[0]->Cost(now)) {
+    return candidates[1];
+  }
+  return candidates[0];
+}
+
+std::shared_ptr<TargetPool> PeerTable::PoolOf(const TargetPtr& peer) const {
+  return this->pools.at(peer->entry().id);
+}
+
+void PeerTable::Sweep() {
+  for (const auto& [name, pool] : this->pools) {
+    pool->Sweep();
+  }
+  const TimePoint now = this->context.clock.Now();
+  if (now < this->next_warm_up) {
+    return;
+  }
+  this->next_warm_up = now + kWarmUpInterval;
+  for (const std::string& domain : this->hosts.Domains()) {
+    if (domain == this->own_domain) {
+      continue;
+    }
+    for (const TargetPtr& peer : this->Candidates(domain)) {
+      this->PoolOf(peer)->WarmUp(kIdleConnections);
+    }
+  }
+}
+
+}  // namespace auburnyard
--- /dev/null
+++ b/src/relay/peer_table.h
@@ -0,0 +1,43 @@
+#ifndef AUBURNYARD_SRC_RELAY_PEER_TABLE_H_
+#define AUBURNYARD_SRC_RELAY_PEER_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "auburnyard/host_table.h"
+#include "src/relay/target_pool.h"
+
+namespace auburnyard {
+
+/// Connections to entry hosts of other failure domains.
+class PeerTable {
+ public:
+  PeerTable(const RelayContext& context,
+            const HostTable& hosts,
+            std::string own_name,
+            std::string own_domain);
+
+  /// A host of the domain that is expected to reply soon, or null.
+  TargetPtr Choose(std::string_view domain);
+  std::shared_ptr<TargetPool> PoolOf(const TargetPtr& peer) const;
+  void Sweep();
+
+ private:
+  std::vector<TargetPtr> Candidates(std::string_view domain);
+  TargetPtr PeerOf(const HostEntry& entry);
+
+  const RelayContext& context;
+  const HostTable& hosts;
+  std::string own_name;
+  std::string own_domain;
+  std::map<std::string, std::shared_ptr<TargetPool>, std::less<>> pools;
+  std::mt19937_64 random;
+  TimePoint next_warm_up{};
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_RELAY_PEER_TABLE_H_
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -20,6 +20,10 @@
 constexpr milliseconds kBalancerLag{3'200};
 // The last requests are given up this long before the process would be killed.
 constexpr milliseconds kShutdownMargin{400};
+// Headers that a forwarding host adds.
+constexpr std::uint32_t kPeerHeaderBytes = 1024;
+// Longer than the forwarding host keeps an idle connection.
+constexpr milliseconds kPeerIdleTimeout{90'000};
 constexpr int kStatusUnavailable = 503;
 
 asio::ip::tcp::endpoint Endpoint(std::string_view address) {
@@ -49,8 +53,13 @@
               {this->settings.failure_domain, this->settings.region},
               this->settings.domain_regions,
               this->hosts),
+      peers(this->context,
+            this->hosts,
+            this->settings.host_name,
+            this->settings.failure_domain),
       service(this->context,
               this->targets,
+              this->peers,
               this->metrics,
               BudgetLimits(this->settings)),
       follower(this->context,
@@ -62,21 +71,29 @@
                this->targets,
                this->hosts,
                this->metrics),
-      callers(this->context,
-              {.handle =
-                   [this](CallerRequest request, RelayService::Responder done) {
-                     return this->service.Handle(std::move(request),
-                                                 std::move(done));
-                   },
-               .limits =
-                   [this] {
-                     const auto& routes = this->service.routes();
-                     return routes == nullptr ? CallerLimits()
-                                              : routes->limits();
-                   }}),
+      callers(this->context, this->ServerHooks(/*for_peers=*/false)),
+      peer_server(this->context, this->ServerHooks(/*for_peers=*/true)),
       signals(this->io, SIGTERM, SIGINT, SIGHUP),
       timer(this->io) {}
 
+CallerServer::Hooks RelayHost::ServerHooks(bool for_peers) {
+  CallerServer::Hooks hooks;
+  hooks.handle = [this, for_peers](CallerRequest request,
+                                   RelayService::Responder done) {
+    return this->service.Handle(std::move(request), std::move(done), for_peers);
+  };
+  hooks.limits = [this, for_peers] {
+    const auto& routes = this->service.routes();
+    CallerLimits limits = routes == nullptr ? CallerLimits() : routes->limits();
+    if (for_peers) {
+      limits.header_bytes += kPeerHeaderBytes;
+      limits.idle_timeout = kPeerIdleTimeout;
+    }
+    return limits;
+  };
+  return hooks;
+}
+
 void RelayHost::ListenForHealth() {
   const HostPort address = ParseHostPort(this->settings.readiness_address);
   this->readiness = std::make_shared<HttpServer>(
@@ -107,6 +124,7 @@
             {"callers", this->settings.callers_address}});
   this->ListenForHealth();
   this->callers.Listen(Endpoint(this->settings.callers_address));
+  this->peer_server.Listen(Endpoint(this->settings.peers_address));
   this->follower.Start();
   this->Register();
   this->WaitForSignal();
@@ -167,12 +185,15 @@
            {{"sessions", this->callers.sessions()}});
   this->draining_since = this->clock.Now();
   this->callers.CloseAfterResponses();
+  this->peer_server.CloseAfterResponses();
   this->registration->Release();
 }
 
 void RelayHost::Sweep() {
   this->targets.Sweep();
+  this->peers.Sweep();
   this->callers.Sweep();
+  this->peer_server.Sweep();
   const bool ready = this->follower.synchronized() && !this->draining;
   if (ready != this->was_ready) {
     this->was_ready = ready;
@@ -198,8 +219,9 @@
     return;
   }
   this->callers.CloseIdle();
-  if (!this->callers.busy() ||
-      elapsed > this->settings.shutdown_time - kShutdownMargin) {
+  this->peer_server.CloseIdle();
+  const bool busy = this->callers.busy() || this->peer_server.busy();
+  if (!busy || elapsed > this->settings.shutdown_time - kShutdownMargin) {
     this->Finish();
   }
 }
--- a/src/relay/relay_host.h
+++ b/src/relay/relay_host.h
@@ -33,6 +33,7 @@
   void Run();
 
  private:
+  CallerServer::Hooks ServerHooks(bool for_peers);
   void ListenForHealth();
   void Register();
   void WaitForSignal();
@@ -51,9 +52,11 @@
   RelayMetrics metrics;
   HostTable hosts;
   TargetTable targets;
+  PeerTable peers;
   RelayService service;
   StoreFollower follower;
   CallerServer callers;
+  CallerServer peer_server;
   std::shared_ptr<StoreRegistration> registration;
   std::shared_ptr<HttpServer> readiness;
   std::shared_ptr<HttpServer> metrics_server;
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -25,6 +25,14 @@
 constexpr std::uint32_t kOutcomeLinesPerSecond = 20;
 constexpr std::uint64_t kRandomSeed = 20261204;
 
+// Fewer far parts are fetched directly.
+constexpr std::size_t kSmallestBundle = 2;
+// Share of the repeats of a bundled part that stays with the host that asks,
+// for the case that the other host is lost.
+constexpr double kBundlerShare = 0.2;
+
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusGatewayTimeout = 504;
@@ -33,10 +41,12 @@
 
 RelayService::RelayService(const RelayContext& relay_context,
                            TargetTable& target_table,
+                           PeerTable& peer_table,
                            RelayMetrics& relay_metrics,
                            RepeatBudgetLimits limits)
     : context(relay_context),
       targets(target_table),
+      peers(peer_table),
       metrics(relay_metrics),
       budget_limits(limits),
       random(kRandomSeed),
@@ -65,9 +75,10 @@
 }
 
 std::function<void()> RelayService::Handle(CallerRequest request,
-                                           Responder respond) {
+                                           Responder respond,
+                                           bool from_peer) {
   if (request.request_id.empty() || request.host.empty()) {
-    this->Refuse(request, 400, "bad_request",
+    this->Refuse(request, kStatusBadRequest, "bad_request",
                  "a request needs a host and a request identifier", respond);
     return nullptr;
   }
@@ -78,43 +89,147 @@
   }
   const Route* route = this->table->Find(request.host, request.path);
   if (route == nullptr) {
-    this->Refuse(request, 404, "no_route", "no route matches", respond);
+    this->Refuse(request, kStatusNotFound, "no_route", "no route matches",
+                 respond);
+    return nullptr;
+  }
+  const RelayJobPtr job =
+      this->MakeJob(std::move(request), std::move(respond), *route, from_peer);
+  this->Start(job);
+  if (!job->cancel) {
     return nullptr;
   }
+  return [job] {
+    if (job->cancel) {
+      std::exchange(job->cancel, nullptr)();
+    }
+  };
+}
+
+RelayJobPtr RelayService::MakeJob(CallerRequest request,
+                                  Responder respond,
+                                  const Route& route,
+                                  bool from_peer) const {
+  const auto job = std::make_shared<RelayJob>();
   const TimePoint now = this->context.clock.Now();
   const milliseconds patience =
-      std::min(request.patience.value_or(route->timeout), route->timeout);
+      std::min(request.patience.value_or(route.timeout), route.timeout);
+  milliseconds objective = route.latency_objective - kAnswerMargin;
+  if (from_peer && request.answer_within) {
+    objective = *request.answer_within;
+  }
+  job->table = this->table;
+  job->route = &route;
+  job->from_peer = from_peer;
+  job->arrival = now;
+  job->deadline = now + std::max(patience - kDeadlineMargin, milliseconds(1));
+  job->answer_by =
+      std::min(job->deadline, now + std::max(objective, milliseconds(1)));
+  if (from_peer && !request.shards.empty()) {
+    job->partial_route = route;
+    job->partial_route->shards = std::move(request.shards);
+    // The asking host judges the coverage of the whole.
+    job->partial_route->min_coverage = 0;
+    job->route = &*job->partial_route;
+  }
+  job->request = std::move(request);
+  job->respond = std::move(respond);
+  return job;
+}
+
+std::vector<PartBundle> RelayService::MakeBundles(const RelayJob& job) {
+  std::vector<PartBundle> bundles;
+  if (job.from_peer || !job.route->allowed_regions.empty()) {
+    return bundles;
+  }
+  std::map<std::string_view, std::vector<std::uint32_t>> far;  // by domain
+  for (std::uint32_t i = 0; i < job.route->shards.size(); ++i) {
+    const TargetPtr target = this->targets.Choose(job.route->shards[i], {}, {});
+    if (target != nullptr && target->distance() != Distance::kSameDomain) {
+      far[target->entry().failure_domain].push_back(i);
+    }
+  }
+  for (auto& [domain, parts] : far) {
+    if (parts.size() < kSmallestBundle) {
+      continue;
+    }
+    const TargetPtr host = this->peers.Choose(domain);
+    if (host != nullptr) {
+      bundles.push_back({host, std::move(parts)});
+    }
+  }
+  return bundles;
+}
+
+FanOutPlan RelayService::MakePlan(const RelayJob& job) {
+  const Route& route = *job.route;
   FanOutPlan plan;
-  plan.route = route;
-  plan.arrival = now;
-  plan.deadline = now + std::max(patience - kDeadlineMargin, milliseconds(1));
-  plan.answer_by = std::min(
-      plan.deadline, now + std::max(route->latency_objective - kAnswerMargin,
-                                    milliseconds(1)));
-  if (route->fans_out()) {
-    plan.services.assign(route->shards.begin(), route->shards.end());
+  plan.route = &route;
+  plan.arrival = job.arrival;
+  plan.answer_by = job.answer_by;
+  plan.deadline = job.deadline;
+  if (route.fans_out()) {
+    plan.services.assign(route.shards.begin(), route.shards.end());
+    plan.bundles = this->MakeBundles(job);
   } else {
-    plan.services.push_back(this->PickService(*route));
+    plan.services.push_back(this->PickService(route));
+  }
+  return plan;
+}
+
+// Two hosts divide the repeats that a bundled part earns.
+void RelayService::CountRequests(const RelayJob& job, const FanOutPlan& plan) {
+  std::vector<double> shares(plan.services.size(),
+                             job.from_peer ? 1 - kBundlerShare : 1.0);
+  for (const PartBundle& bundle : plan.bundles) {
+    for (const std::uint32_t part : bundle.parts) {
+      shares[part] = kBundlerShare;
+    }
   }
-  for (const std::string_view service : plan.services) {
-    this->BudgetOf(service).OnRequest(now);
+  for (std::size_t i = 0; i < plan.services.size(); ++i) {
+    this->BudgetOf(plan.services[i]).OnRequest(job.arrival, shares[i]);
   }
+}
+
+void RelayService::Start(const RelayJobPtr& job) {
+  FanOutPlan plan = this->MakePlan(*job);
+  this->CountRequests(*job, plan);
   RelayedRequest::Hooks hooks;
+  hooks.choose = [this, job](std::string_view service,
+                             std::span<const TargetPtr> tried) {
+    return this->targets.Choose(service, job->route->allowed_regions, tried);
+  };
+  hooks.pool_of = [this](const TargetPtr& target) {
+    return this->targets.PoolOf(target);
+  };
+  hooks.pool_of_host = [this](const TargetPtr& host) {
+    return this->peers.PoolOf(host);
+  };
+  hooks.replicas = [this](std::string_view service) {
+    return this->targets.Replicas(service);
+  };
   hooks.repeat = [this](std::string_view service, AttemptPurpose purpose) {
     return this->TakeRepeat(service, purpose);
   };
-  hooks.finish = [this, respond = std::move(respond)](RelayedRequest& relayed,
-                                                      FanOutResult result) {
-    this->Finish(relayed, std::move(result), respond);
+  hooks.finish = [this, job](RelayedRequest& request, FanOutResult result) {
+    this->Finish(job, request, std::move(result));
   };
   const auto relayed = std::make_shared<RelayedRequest>(
-      this->context, this->targets, this->table, std::move(plan),
-      std::move(request), std::move(hooks));
+      this->context, job->table, std::move(plan), std::move(job->request),
+      std::move(hooks));
+  job->cancel = [relayed] { relayed->Cancel(); };
   relayed->Start();
-  if (relayed->fan_out().finished()) {
-    return nullptr;
+}
+
+void RelayService::Respond(RelayJob& job,
+                           std::string_view request_id,
+                           CallerAnswer answer) {
+  job.cancel = nullptr;
+  if (job.from_peer) {
+    answer.head += this->context.wire.encode_identity(request_id);
   }
-  return [relayed] { relayed->Cancel(); };
+  const Responder respond = std::move(job.respond);
+  respond(std::move(answer));
 }
 
 void RelayService::Refuse(const CallerRequest& request,
@@ -179,31 +294,28 @@
   return granted;
 }
 
-void RelayService::Finish(RelayedRequest& request,
-                          FanOutResult result,
-                          const Responder& respond) {
-  const Duration latency =
-      this->context.clock.Now() - request.fan_out().plan().arrival;
-  this->metrics.ObserveRequest(request.fan_out().plan().route->fans_out(),
-                               latency);
+void RelayService::Finish(const RelayJobPtr& job,
+                          const RelayedRequest& request,
+                          FanOutResult result) {
+  const Duration latency = this->context.clock.Now() - job->arrival;
+  this->metrics.ObserveRequest(job->route->fans_out(), latency);
   if (result.kind == FanOutResult::Kind::kRefusal) {
     this->metrics.CountRefusal(DescribeError(result.error).name);
   } else {
     this->metrics.CountAnswer(result.missing == 0);
   }
-  const FanOutPlan& plan = request.fan_out().plan();
   const bool failed =
       result.kind == FanOutResult::Kind::kRefusal ||
       (result.kind == FanOutResult::Kind::kReply && !result.reply.success());
-  if (failed || result.missing > 0 || latency > plan.route->latency_objective) {
-    this->LogOutcome(request, result, result.reply.status, latency);
+  if (failed || result.missing > 0 || latency > job->route->latency_objective) {
+    this->LogOutcome(*job, request, result, latency);
   }
-  respond(this->MakeAnswer(result));
+  this->Respond(*job, request.request_id(), this->MakeAnswer(result));
 }
 
-void RelayService::LogOutcome(const RelayedRequest& request,
+void RelayService::LogOutcome(const RelayJob& job,
+                              const RelayedRequest& request,
                               const FanOutResult& result,
-                              int status,
                               Duration latency) {
   std::uint64_t omitted = 0;
   if (!this->outcome_lines.Allow(this->context.clock.Now(), omitted)) {
@@ -213,11 +325,12 @@
   LogEvent(spdlog::level::info,
            refused ? "request_refused" : "request_impaired",
            {{"request", request.request_id()},
-            {"route", request.fan_out().plan().route->name},
-            {"version", this->table->version()},
+            {"route", job.route->name},
+            {"version", job.table->version()},
+            {"from_peer", job.from_peer},
             {"kind", refused ? DescribeError(result.error).name : "answered"},
             {"run", ToString(result.run)},
-            {"target_status", status},
+            {"target_status", result.reply.status},
             {"missing", result.missing},
             {"lacking", request.fan_out().DescribeOpen()},
             {"repeats", request.fan_out().repeats()},
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -10,8 +10,11 @@
 #include "auburnyard/repeat_budget.h"
 #include "src/relay/caller_answer.h"
 #include "src/relay/log_limiter.h"
+#include "src/relay/peer_table.h"
+#include "src/relay/relay_job.h"
 #include "src/relay/relay_metrics.h"
 #include "src/relay/relayed_request.h"
+#include "src/relay/target_table.h"
 
 namespace auburnyard {
 
@@ -23,6 +26,7 @@
 
   RelayService(const RelayContext& context,
                TargetTable& targets,
+               PeerTable& peers,
                RelayMetrics& metrics,
                RepeatBudgetLimits budget_limits);
 
@@ -33,23 +37,37 @@
   }
   void SetBudgetLimits(RepeatBudgetLimits limits);
   /// Answers through `respond`, once. Returns a function that ends the request
-  /// if the caller leaves; empty if the request was answered at once.
-  std::function<void()> Handle(CallerRequest request, Responder respond);
+  /// if the caller leaves. `from_peer`: another entry host asks, which has
+  /// chosen this one for its place.
+  std::function<void()> Handle(CallerRequest request,
+                               Responder respond,
+                               bool from_peer);
 
  private:
+  RelayJobPtr MakeJob(CallerRequest request,
+                      Responder respond,
+                      const Route& route,
+                      bool from_peer) const;
+  void Start(const RelayJobPtr& job);
+  FanOutPlan MakePlan(const RelayJob& job);
+  /// Groups the parts whose best target is in another failure domain with an
+  /// entry host.
+  std::vector<PartBundle> MakeBundles(const RelayJob& job);
+  void CountRequests(const RelayJob& job, const FanOutPlan& plan);
+  void Finish(const RelayJobPtr& job,
+              const RelayedRequest& request,
+              FanOutResult result);
+  void Respond(RelayJob& job, std::string_view request_id, CallerAnswer answer);
   void Refuse(const CallerRequest& request,
               int status,
               std::string_view kind,
               std::string_view title,
               const Responder& respond);
-  void Finish(RelayedRequest& request,
-              FanOutResult result,
-              const Responder& respond);
   CallerAnswer MakeAnswer(const FanOutResult& result);
   CallerAnswer MakeFailure(const FanOutResult& result);
-  void LogOutcome(const RelayedRequest& request,
+  void LogOutcome(const RelayJob& job,
+                  const RelayedRequest& request,
                   const FanOutResult& result,
-                  int status,
                   Duration latency);
   std::string_view PickService(const Route& route);
   RepeatBudget& BudgetOf(std::string_view service);
@@ -58,6 +76,7 @@
 
   const RelayContext& context;
   TargetTable& targets;
+  PeerTable& peers;
   RelayMetrics& metrics;
   RepeatBudgetLimits budget_limits;
   std::shared_ptr<const RouteTable> table;
--- a/src/relay/relay_wire.h
+++ b/src/relay/relay_wire.h
@@ -3,8 +3,10 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "auburnyard/fan_out.h"
 #include "auburnyard/load_report.h"
@@ -19,6 +21,10 @@
   std::string request_id;
   /// Time that the caller will wait; empty if it did not say.
   std::optional<std::chrono::milliseconds> patience;
+  /// Time within which another entry host needs the answer.
+  std::optional<std::chrono::milliseconds> answer_within;
+  /// Shards that another entry host asks for; empty: all of the route.
+  std::vector<std::string> shards;
   /// Request line and the headers that are passed on, without the last line.
   std::string forwarded_head;
   std::string body;
@@ -31,6 +37,7 @@
   int status = 0;
   std::string request_id;  ///< of the request that is answered; may be empty
   std::string signature;
+  std::vector<std::string> part_signatures;  ///< of another entry host
   bool refused = false;       ///< the target did not run the request
   bool wrong_target = false;  ///< another target has this address
   bool encoded_body = false;  ///< the body is not the target's own bytes
@@ -52,6 +59,14 @@
   /// Status line and headers of a target's reply that are passed on; no
   /// content length, no empty line.
   std::function<std::string(const BeastResponse& response)> encode_reply;
+  /// Header that names the request that is answered.
+  std::function<std::string(std::string_view request_id)> encode_identity;
+  /// Header that tells another entry host when its answer is needed.
+  std::function<std::string(std::chrono::milliseconds within)>
+      encode_answer_within;
+  /// Header that asks another entry host for some shards of the route.
+  std::function<std::string(std::span<const std::string_view> shards)>
+      encode_bundle;
   /// Status line and headers of a merged answer.
   std::function<std::string(const FanOutResult& result)> encode_merged;
 };
--- a/src/relay/relayed_request.cc
+++ b/src/relay/relayed_request.cc
@@ -5,13 +5,11 @@
 namespace auburnyard {
 
 RelayedRequest::RelayedRequest(const RelayContext& relay_context,
-                               TargetTable& target_table,
                                std::shared_ptr<const RouteTable> route_table,
                                FanOutPlan plan,
                                CallerRequest caller,
                                Hooks request_hooks)
     : context(relay_context),
-      targets(target_table),
       table(std::move(route_table)),
       shared(std::make_shared<TargetExchange::SharedRequest>()),
       hooks(std::move(request_hooks)),
@@ -31,11 +29,7 @@
 
 FanOutHooks RelayedRequest::MachineHooks() {
   FanOutHooks side_effects;
-  side_effects.choose = [this](std::string_view service,
-                               std::span<const TargetPtr> tried) {
-    return this->targets.Choose(
-        service, this->machine->plan().route->allowed_regions, tried);
-  };
+  side_effects.choose = this->hooks.choose;
   side_effects.repeat = this->hooks.repeat;
   side_effects.send = [this](PartAttempt id, const TargetPtr& target) {
     this->Send(id, target);
@@ -44,6 +38,15 @@
   side_effects.finish = [this](FanOutResult result) {
     this->Finish(std::move(result));
   };
+  side_effects.replicas = this->hooks.replicas;
+  side_effects.send_bundle = [this](std::uint32_t index,
+                                    const TargetPtr& host) {
+    this->SendBundle(index, host);
+  };
+  side_effects.abandon_bundle = [this](std::uint32_t index) {
+    const Attempt& bundle = this->bundles[index];
+    bundle.pool->Abandon(bundle.exchange);
+  };
   return side_effects;
 }
 
@@ -66,11 +69,39 @@
     self->machine->OnFailure(id, failure, self->context.clock.Now());
     self->Arm();
   };
-  std::shared_ptr<TargetPool> pool = this->targets.PoolOf(target);
+  std::shared_ptr<TargetPool> pool = this->hooks.pool_of(target);
   this->attempts[id.part].push_back({pool, exchange});
   pool->Submit(std::move(exchange));
 }
 
+void RelayedRequest::SendBundle(std::uint32_t index, const TargetPtr& host) {
+  const FanOutPlan& plan = this->machine->plan();
+  std::vector<std::string_view> services;
+  for (const std::uint32_t part : plan.bundles[index].parts) {
+    services.push_back(plan.services[part]);
+  }
+  auto bundle_request =
+      std::make_shared<TargetExchange::SharedRequest>(*this->shared);
+  bundle_request->head += this->context.wire.encode_bundle(services);
+  bundle_request->answer_by = plan.answer_by;
+  auto exchange = std::make_shared<TargetExchange>();
+  exchange->request = std::move(bundle_request);
+  const auto self = this->shared_from_this();
+  exchange->on_sent = [self, index] { self->machine->OnBundleSent(index); };
+  exchange->on_reply = [self, index](RelayReply reply) {
+    self->machine->OnBundleReply(index, std::move(reply),
+                                 self->context.clock.Now());
+    self->Arm();
+  };
+  exchange->on_failure = [self, index](PartFailure failure) {
+    self->machine->OnBundleFailure(index, failure, self->context.clock.Now());
+    self->Arm();
+  };
+  std::shared_ptr<TargetPool> pool = this->hooks.pool_of_host(host);
+  this->bundles.push_back({pool, exchange});
+  pool->Submit(std::move(exchange));
+}
+
 void RelayedRequest::Abandon(PartAttempt id) {
   const Attempt& attempt = this->attempts[id.part][id.attempt];
   attempt.pool->Abandon(attempt.exchange);
--- a/src/relay/relayed_request.h
+++ b/src/relay/relayed_request.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -11,7 +12,7 @@
 #include "auburnyard/fan_out.h"
 #include "auburnyard/route_table.h"
 #include "src/relay/relay_context.h"
-#include "src/relay/target_table.h"
+#include "src/relay/target_pool.h"
 
 namespace auburnyard {
 
@@ -20,13 +21,18 @@
 class RelayedRequest : public std::enable_shared_from_this<RelayedRequest> {
  public:
   struct Hooks {
+    std::function<TargetPtr(std::string_view service,
+                            std::span<const TargetPtr> tried)>
+        choose;
+    std::function<std::shared_ptr<TargetPool>(const TargetPtr&)> pool_of;
+    std::function<std::shared_ptr<TargetPool>(const TargetPtr&)> pool_of_host;
+    std::function<std::size_t(std::string_view service)> replicas;
     std::function<bool(std::string_view service, AttemptPurpose purpose)>
         repeat;
     std::function<void(RelayedRequest&, FanOutResult)> finish;
   };
 
   RelayedRequest(const RelayContext& context,
-                 TargetTable& targets,
                  std::shared_ptr<const RouteTable> table,
                  FanOutPlan plan,
                  CallerRequest caller,
@@ -44,18 +50,20 @@
   };
 
   FanOutHooks MachineHooks();
+  void SendBundle(std::uint32_t index, const TargetPtr& host);
+
   void Send(PartAttempt id, const TargetPtr& target);
   void Abandon(PartAttempt id);
   void Finish(FanOutResult result);
   void Arm();
 
   const RelayContext& context;
-  TargetTable& targets;
   std::shared_ptr<const RouteTable> table;
   std::shared_ptr<TargetExchange::SharedRequest> shared;
   Hooks hooks;
   std::unique_ptr<FanOut> machine;
   std::vector<std::vector<Attempt>> attempts;  // by part
+  std::vector<Attempt> bundles;
   boost::asio::steady_timer timer;
   TimePoint armed_for = TimePoint::max();
 };
--- a/src/relay/target_connection.cc
+++ b/src/relay/target_connection.cc
@@ -170,6 +170,7 @@
   end.complete = true;
   end.reply.status = end.head.status;
   end.reply.signature = end.head.signature;
+  end.reply.part_signatures = end.head.part_signatures;
   if (this->current->request->passes_reply_on) {
     end.reply.head = this->context.wire.encode_reply(response);
   }
--- a/src/relay/target_exchange.h
+++ b/src/relay/target_exchange.h
@@ -21,6 +21,8 @@
     bool passes_reply_on = false;  ///< the reply's own headers are needed
     std::uint32_t priority = 0;
     TimePoint deadline{};
+    /// When the answer of another entry host is needed; max: at the deadline.
+    TimePoint answer_by = TimePoint::max();
   };
 
   std::shared_ptr<const SharedRequest> request;
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -21,6 +21,8 @@
 // A reply that nobody waits for may still arrive within this time and save its
 // connection. Targets must not be at work half a second after the caller left.
 constexpr milliseconds kLinger{350};
+// Another entry host gets at least this long for its answer.
+constexpr milliseconds kShortestAnswerTime{5};
 // Exchanges that wait for a connection to one target.
 constexpr std::size_t kMaxWaiting = 64;
 // Idle connections of targets that did not tell their idle time-out.
@@ -40,7 +42,8 @@
                        Hooks pool_hooks)
     : context(relay_context),
       state(std::move(target_state)),
-      hooks(std::move(pool_hooks)) {
+      hooks(std::move(pool_hooks)),
+      linger(kLinger) {
   const HostPort address = ParseHostPort(this->state->entry().address);
   this->endpoint = {asio::ip::make_address(address.host), address.port};
 }
@@ -124,15 +127,23 @@
   }
 }
 
-void TargetPool::WarmUp() {
+void TargetPool::WarmUp(std::size_t idle) {
   const TimePoint now = this->context.clock.Now();
-  if (!this->all.empty() || this->is_retired || now < this->next_warm_up) {
+  const auto ready = static_cast<std::size_t>(
+      std::count_if(this->all.begin(), this->all.end(),
+                    [](const TargetConnectionPtr& connection) {
+                      return !connection->busy();
+                    }));
+  if (ready >= idle || this->is_retired || now < this->next_warm_up) {
     return;
   }
   this->warm_up_delay = std::clamp<Duration>(
       this->warm_up_delay * 2, kShortestWarmUpDelay, kLongestWarmUpDelay);
   this->next_warm_up = now + this->warm_up_delay;
-  this->Open();
+  for (std::size_t i = ready;
+       i < idle && this->all.size() < this->connection_limit; ++i) {
+    this->Open();
+  }
 }
 
 void TargetPool::Open() {
@@ -167,6 +178,13 @@
       work->request->deadline - this->context.clock.Now());
   std::string head = this->context.wire.encode_attempt(
       std::max(left, milliseconds(1)), this->state->entry().id);
+  if (work->request->answer_by != TimePoint::max()) {
+    const auto within = std::chrono::duration_cast<milliseconds>(
+        work->request->answer_by - this->context.clock.Now() -
+        this->state->latency().Floor());
+    head.insert(0, this->context.wire.encode_answer_within(
+                       std::max(within, kShortestAnswerTime)));
+  }
   work->on_sent();
   connection->Send(std::move(work), std::move(head));
   this->state->OnSent(connection->sent_at());
@@ -222,7 +240,7 @@
     connection->Close();
     this->Remove(connection);
   }
-  if (end.head.wrong_target) {
+  if (end.head.wrong_target && this->hooks.on_wrong_target) {
     this->hooks.on_wrong_target(this->state);
   }
   if (!end.complete || end.head.encoded_body) {
@@ -252,9 +270,13 @@
     } else if (connection->busy()) {
       const TargetExchangePtr& exchange = connection->exchange();
       const bool lingered = exchange->ended && exchange->request->idempotent &&
-                            now - exchange->abandoned_at > kLinger;
+                            now - exchange->abandoned_at >= this->linger;
       if (now > exchange->request->deadline + kLinger || lingered) {
-        this->state->OnFailed(connection->sent_at(), now);
+        if (this->linger == Duration::zero() && lingered) {
+          this->state->OnAbandoned(connection->sent_at());
+        } else {
+          this->state->OnFailed(connection->sent_at(), now);
+        }
         connection->Close();
         this->Remove(connection);
       }
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -18,7 +18,7 @@
 class TargetPool : public std::enable_shared_from_this<TargetPool> {
  public:
   struct Hooks {
-    /// Another target answered at the address.
+    /// Another target answered at the address. May be empty.
     std::function<void(const TargetPtr&)> on_wrong_target;
   };
 
@@ -33,13 +33,16 @@
   /// The result is not needed any more. One that was sent keeps its connection
   /// until the reply arrives or the linger time has passed.
   void Abandon(const TargetExchangePtr& exchange);
-  /// Opens a connection if there is none.
-  void WarmUp();
+  /// Opens connections until `idle` are ready for use.
+  void WarmUp(std::size_t idle);
   /// Ends what has taken too long. Called every few tens of milliseconds.
   void Sweep();
   /// Refuses what waits and closes connections as they become idle.
   void Retire();
 
+  /// How long a reply that nobody waits for may still take. Zero: its
+  /// connection is closed, so that the other side learns of it.
+  void SetLinger(Duration time) { this->linger = time; }
   void SetConnectionLimit(std::size_t limit) { this->connection_limit = limit; }
   const TargetPtr& target() const { return this->state; }
   std::size_t connections() const { return this->all.size(); }
@@ -60,6 +63,7 @@
   Hooks hooks;
   boost::asio::ip::tcp::endpoint endpoint;
   std::size_t connection_limit = 1;
+  Duration linger;
   std::vector<TargetConnectionPtr> all;
   std::deque<TargetExchangePtr> waiting;  // by priority, then by arrival
   TimePoint next_warm_up{};
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -233,6 +233,11 @@
   return this->pools.at(target->entry().id);
 }
 
+std::size_t TargetTable::Replicas(std::string_view service) const {
+  const auto found = this->by_service.find(service);
+  return found == this->by_service.end() ? 0 : found->second.size();
+}
+
 void TargetTable::Sweep() {
   const TimePoint now = this->context.clock.Now();
   for (auto it = this->removals.begin(); it != this->removals.end();) {
@@ -255,7 +260,7 @@
       this->ApplyLimits(*pool);
       if (this->MayReceive(*pool->target(), {}) &&
           this->ConnectionShare(pool->target()->entry().service) >= 1) {
-        pool->WarmUp();
+        pool->WarmUp(pool->connections() == 0 ? 1 : 0);
       }
     }
   }
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -52,6 +52,8 @@
                    std::span<const TargetPtr> tried) const;
   /// Pool of a target that was just chosen.
   std::shared_ptr<TargetPool> PoolOf(const TargetPtr& target) const;
+  /// Targets that are registered for the service.
+  std::size_t Replicas(std::string_view service) const;
   /// Periodic work of all pools.
   void Sweep();
   std::size_t size() const { return this->pools.size(); }
