--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 // Time for the answer to reach the caller and to be processed there.
-constexpr milliseconds kAnswerMargin{8};
+constexpr milliseconds kAnswerMargin{10};
 // A final answer is sent this long before the caller stops waiting.
 constexpr milliseconds kDeadlineMargin{15};
 // Hedges leave this share of the budget to retries, without which a part is
