--- /dev/null
+++ b/test/caller_server_test.cc
@@ -0,0 +1,182 @@
+#include "src/relay/caller_server.h"
+
+#include <thread>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "platform/relay_dialect.h"
+
+namespace auburnyard {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Answers each request with its method line and body, or holds it.
+class ServerFixture {
+ public:
+  ServerFixture() {
+    CallerServer::Hooks hooks;
+    hooks.limits = [] {
+      CallerLimits limits;
+      limits.header_bytes = 512;
+      limits.body_bytes = 16;
+      return limits;
+    };
+    hooks.handle = [this](CallerRequest request,
+                          std::function<void(CallerAnswer)> respond)
+        -> std::function<void()> {
+      if (request.path == "/held") {
+        ++this->held;
+        return [this] { ++this->cancelled; };
+      }
+      respond({"HTTP/1.1 200 OK\r\n", request.path + "=" + request.body});
+      return nullptr;
+    };
+    this->server = std::make_unique<CallerServer>(this->context, hooks);
+    this->server->Listen({asio::ip::make_address("127.0.0.1"), 0});
+    this->port = this->server->port();
+    this->thread = std::jthread([this] { this->io.run(); });
+  }
+  ~ServerFixture() { this->io.stop(); }
+  ServerFixture(const ServerFixture&) = delete;
+  ServerFixture& operator=(const ServerFixture&) = delete;
+
+  asio::ip::tcp::socket Connect(asio::io_context& client) const {
+    asio::ip::tcp::socket socket(client);
+    socket.connect({asio::ip::make_address("127.0.0.1"), this->port});
+    return socket;
+  }
+  // Sends the bytes, ends with a request that closes, and reads everything.
+  std::string Exchange(std::string_view bytes) const {
+    asio::io_context client;
+    asio::ip::tcp::socket socket = this->Connect(client);
+    asio::write(socket, asio::buffer(bytes));
+    std::string received;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    return received;
+  }
+
+  std::atomic<int> held{0};
+  std::atomic<int> cancelled{0};
+  asio::io_context io;
+  std::unique_ptr<CallerServer> server;
+
+ private:
+  Clock clock;
+  RelayWire wire = platform::MakeRelayWire();
+  RelayContext context{this->io, this->clock, this->wire};
+  std::uint16_t port = 0;
+  std::jthread thread;
+};
+
+constexpr std::string_view kLast =
+    "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(caller_server_test)
+
+// Guards against pipelined requests that are lost or answered out of order.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInOrder) {
+  const ServerFixture world;
+  const std::string received = world.Exchange(
+      "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+      "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+      "xyz" +
+      std::string(kLast));
+  const std::size_t first = received.find("/a=");
+  const std::size_t second = received.find("/b=xyz");
+  const std::size_t third = received.find("/last=");
+  BOOST_TEST(first < second);
+  BOOST_TEST(second < third);
+  BOOST_TEST(third != std::string::npos);
+}
+
+// Guards against bodies in chunks that are passed on with their framing.
+BOOST_AUTO_TEST_CASE(ChunkedBodyIsDecoded) {
+  const ServerFixture world;
+  const std::string received = world.Exchange(
+      "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n" +
+      std::string(kLast));
+  BOOST_TEST(received.find("/c=abc") != std::string::npos);
+}
+
+// Guards against input beyond the limits, and tells the caller which.
+BOOST_AUTO_TEST_CASE(LimitsAreEnforced) {
+  const ServerFixture world;
+  BOOST_TEST(world
+                 .Exchange("GET /" + std::string(600, 'x') +
+                           " HTTP/1.1\r\nHost: h\r\n\r\n")
+                 .starts_with("HTTP/1.1 431"));
+  BOOST_TEST(world
+                 .Exchange("POST /b HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: 17\r\n\r\n")
+                 .starts_with("HTTP/1.1 413"));
+  BOOST_TEST(world.Exchange("no request\r\n\r\n").starts_with("HTTP/1.1 400"));
+}
+
+// Guards against one request that hides inside another.
+BOOST_AUTO_TEST_CASE(ConflictingLengthsAreRefused) {
+  const ServerFixture world;
+  const std::string received = world.Exchange(
+      "POST /s HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  BOOST_TEST(received.starts_with("HTTP/1.1 400"));
+}
+
+// Guards against work that goes on for a caller that has left.
+BOOST_AUTO_TEST_CASE(LeavingCallerCancelsItsRequest) {
+  const ServerFixture world;
+  {
+    asio::io_context client;
+    asio::ip::tcp::socket socket = world.Connect(client);
+    asio::write(socket,
+                asio::buffer(std::string("GET /held HTTP/1.1\r\nHost: h\r\n"
+                                         "\r\n")));
+    while (world.held == 0) {
+      std::this_thread::yield();
+    }
+  }
+  for (int i = 0; i < 2'000 && world.cancelled == 0; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  BOOST_TEST(world.cancelled == 1);
+}
+
+// Guards against a caller that waits for permission to send its body.
+BOOST_AUTO_TEST_CASE(ExpectationIsAnswered) {
+  const ServerFixture world;
+  asio::io_context client;
+  asio::ip::tcp::socket socket = world.Connect(client);
+  asio::write(socket,
+              asio::buffer(std::string(
+                  "POST /e HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                  "Content-Length: 2\r\nExpect: 100-continue\r\n\r\n")));
+  std::string received;
+  asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n");
+  BOOST_TEST(received.starts_with("HTTP/1.1 100"));
+  asio::write(socket, asio::buffer(std::string("ok")));
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(received), error);
+  BOOST_TEST(received.find("/e=ok") != std::string::npos);
+}
+
+// Guards against a shutdown that closes a connection without saying so first.
+BOOST_AUTO_TEST_CASE(DrainingServerClosesAfterItsResponse) {
+  ServerFixture world;
+  asio::post(world.io, [&world] { world.server->CloseAfterResponses(); });
+  const std::string received =
+      world.Exchange("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(received.find("Connection: close") != std::string::npos);
+  BOOST_TEST(received.find("/a=") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
--- /dev/null
+++ b/test/platform_dialect_test.cc
@@ -0,0 +1,175 @@
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "platform/base64.h"
+#include "platform/documents.h"
+#include "platform/relay_dialect.h"
+#include "platform/store_dialect.h"
+
+namespace auburnyard {
+
+namespace {
+
+boost::json::object Registration() {
+  return {{"service", "s"},
+          {"address", "127.0.0.1:1"},
+          {"zone", "z"},
+          {"version", "v1"},
+          {"slots", 2},
+          {"state", "ready"},
+          {"warmup_left_ms", 7},
+          {"seq_num", 4},
+          {"born", 1'700'000'000'000}};
+}
+
+bool Readable(const boost::json::object& entry) {
+  try {
+    platform::DecodeTarget("t", boost::json::serialize(entry));
+    return true;
+  } catch (const Error&) {
+    return false;
+  }
+}
+
+BeastRequest Request(std::string_view target) {
+  BeastRequest request(boost::beast::http::verb::get,
+                       boost::beast::string_view(target.data(), target.size()),
+                       11);
+  request.set("Host", "h");
+  return request;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_dialect_test)
+
+// Guards against fields that are read into the wrong member.
+BOOST_AUTO_TEST_CASE(RoutesAreRead) {
+  const auto table = platform::DecodeRoutes(R"({"version": 9, "routes": [
+    {"name": "g", "host": "H.example", "prefix": "/g/", "timeout_ms": 800,
+     "route_type": "idempotent", "target_latency_ms": 120, "priority": 2,
+     "gather": ["a", "b"], "max_attempts": 2, "top_k": 5,
+     "min_coverage": 0.75, "allowed_regions": ["r"]},
+    {"name": "w", "host": "h.example", "prefix": "/w/", "timeout_ms": 10,
+     "route_type": "non_idempotent", "max_attempts": 1, "weighted_targets":
+     [{"service": "x", "weight": 3}, {"service": "y", "weight": 1}]}],
+    "services": [{"name": "a", "max_connections": 26, "warmup_s": 3.0,
+     "warmup_per_s": 1.5}],
+    "limits": {"header_bytes": 100, "max_body_bytes": 200,
+     "header_timeout_ms": 300, "idle_timeout_ms": 400}})");
+  const Route* gather = table->Find("h.example", "/g/x");
+  BOOST_REQUIRE(gather != nullptr);
+  BOOST_TEST(gather->idempotent);
+  BOOST_TEST(gather->shards.size() == 2U);
+  BOOST_TEST(gather->top_records == 5U);
+  BOOST_TEST(gather->min_coverage == 0.75);
+  BOOST_TEST(gather->latency_objective.count() == 120);
+  BOOST_TEST(gather->allowed_regions.front() == "r");
+  const Route* weighted = table->Find("h.example", "/w/");
+  BOOST_REQUIRE(weighted != nullptr);
+  BOOST_TEST(!weighted->idempotent);
+  BOOST_TEST(weighted->services.front().weight == 3);
+  BOOST_REQUIRE(table->Service("a") != nullptr);
+  BOOST_TEST(table->Service("a")->max_connections == 26U);
+  BOOST_TEST(table->Service("a")->warm_up_requests_per_second == 1.5);
+  BOOST_TEST(table->limits().idle_timeout.count() == 400);
+}
+
+// Guards against work for a target whose entry cannot be trusted.
+BOOST_AUTO_TEST_CASE(IncompleteRegistrationsNameNoTarget) {
+  BOOST_TEST(Readable(Registration()));
+  for (const char* field : {"service", "address", "zone", "version", "slots",
+                            "state", "warmup_left_ms", "seq_num"}) {
+    boost::json::object missing = Registration();
+    missing.erase(field);
+    BOOST_TEST(!Readable(missing), field);
+    boost::json::object typed = Registration();
+    typed[field] = boost::json::array();
+    BOOST_TEST(!Readable(typed), field);
+  }
+  boost::json::object state = Registration();
+  state["state"] = "resting";
+  BOOST_TEST(!Readable(state));
+  boost::json::object start = Registration();
+  start["born"] = 1.5;
+  BOOST_TEST(!Readable(start));
+  boost::json::object address = Registration();
+  address["address"] = "somewhere";
+  BOOST_TEST(!Readable(address));
+  BOOST_CHECK_THROW(platform::DecodeTarget("t", "\xff{"), Error);
+}
+
+// Guards against values that change on their way through the store.
+BOOST_AUTO_TEST_CASE(Base64KeepsAllBytes) {
+  std::string bytes;
+  for (int i = 0; i < 256; ++i) {
+    bytes.push_back(static_cast<char>(i));
+    BOOST_TEST(
+        (platform::DecodeBase64(platform::EncodeBase64(bytes)) == bytes));
+  }
+  BOOST_TEST(platform::EncodeBase64("node-1") == "bm9kZS0x");
+  BOOST_CHECK_THROW(platform::DecodeBase64("b!9k"), Error);
+}
+
+// Guards against headers of one connection that reach another, and against a
+// caller that sets what only an entry host may set.
+BOOST_AUTO_TEST_CASE(ConnectionHeadersAreNotPassedOn) {
+  BeastRequest request = Request("/p/q?x=1");
+  request.set("Connection", "keep-alive, X-Private");
+  request.set("X-Private", "1");
+  request.set("Keep-Alive", "timeout=5");
+  request.set("X-Auburnyard-Target-Instance", "other");
+  request.set("X-Auburnyard-Deadline-Ms", "800");
+  request.set("X-Auburnyard-Request-Id", "id");
+  request.set("X-Kept", "yes");
+  const CallerRequest decoded =
+      platform::MakeRelayWire().decode_request(std::move(request));
+  BOOST_TEST(decoded.path == "/p/q");
+  BOOST_TEST(decoded.request_id == "id");
+  BOOST_TEST(decoded.patience->count() == 800);
+  BOOST_TEST(decoded.forwarded_head ==
+             "GET /p/q?x=1 HTTP/1.1\r\nHost: h\r\n"
+             "X-Auburnyard-Request-Id: id\r\nX-Kept: yes\r\n");
+}
+
+// Guards against a bundle that asks for other shards than were meant.
+BOOST_AUTO_TEST_CASE(BundleHeadersAreReadBack) {
+  const RelayWire wire = platform::MakeRelayWire();
+  const std::vector<std::string_view> shards = {"a", "b", "c"};
+  BeastRequest request = Request("/");
+  const std::string line = wire.encode_bundle(shards);
+  const std::size_t colon = line.find(": ");
+  request.set(line.substr(0, colon),
+              line.substr(colon + 2, line.size() - colon - 4));
+  request.set("Auburnyard-Answer-Within-Ms", "90");
+  const CallerRequest decoded = wire.decode_request(std::move(request));
+  BOOST_TEST(decoded.shards == (std::vector<std::string>{"a", "b", "c"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(decoded.answer_within->count() == 90);
+}
+
+// Guards against signatures of a merged answer that get lost between lines.
+BOOST_AUTO_TEST_CASE(MergedAnswerNamesAllSignatures) {
+  const RelayWire wire = platform::MakeRelayWire();
+  FanOutResult result;
+  for (int i = 0; i < 45; ++i) {
+    result.signatures.push_back("s" + std::to_string(i));
+  }
+  result.missing = 2;
+  const std::string head =
+      wire.encode_merged(result) + "Content-Length: 0\r\n\r\n";
+  boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+  boost::beast::error_code error;
+  parser.put(boost::asio::buffer(head), error);
+  BOOST_REQUIRE(!error);
+  const ReplyHead decoded = wire.decode_reply(parser.get());
+  BOOST_TEST(decoded.part_signatures == result.signatures,
+             boost::test_tools::per_element());
+  BOOST_TEST(head.find("X-Auburnyard-Parts-Missing: 2") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
--- /dev/null
+++ b/test/target_pool_test.cc
@@ -0,0 +1,219 @@
+#include "src/relay/target_pool.h"
+
+#include <optional>
+
+#include <boost/test/unit_test.hpp>
+
+#include "platform/relay_dialect.h"
+#include "test/scripted_server.h"
+
+namespace auburnyard {
+
+namespace {
+
+using test::ScriptedReply;
+using test::ScriptedServer;
+
+constexpr std::chrono::seconds kHangLimit{20};  // only ends a hanging test
+
+std::string Reply(std::string_view request_id,
+                  std::string_view body,
+                  std::string_view status = "200 OK",
+                  std::string_view headers = "") {
+  return "HTTP/1.1 " + std::string(status) +
+         "\r\nX-Auburnyard-Request-Id: " + std::string(request_id) +
+         "\r\nX-Auburnyard-Server-Stamp: stamp\r\n" + std::string(headers) +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         std::string(body);
+}
+
+// A pool with one connection to an address.
+class PoolFixture {
+ public:
+  explicit PoolFixture(const std::string& address)
+      : state(std::make_shared<TargetState>(
+            TargetEntry{.id = "t", .service = "s", .address = address},
+            Distance::kSameDomain)),
+        pool(std::make_shared<TargetPool>(
+            this->context,
+            this->state,
+            TargetPool::Hooks{
+                [this](const TargetPtr&) { this->wrong_target = true; }})) {}
+
+  struct Result {
+    std::optional<RelayReply> reply;
+    std::optional<PartFailure> failure;
+    bool sent = false;
+  };
+
+  TargetExchangePtr Submit(Result& result, const std::string& id = "id") {
+    auto request = std::make_shared<TargetExchange::SharedRequest>();
+    request->head = "GET / HTTP/1.1\r\nHost: h\r\n";
+    request->request_id = id;
+    request->idempotent = true;
+    request->deadline = this->clock.Now() + kHangLimit;
+    auto exchange = std::make_shared<TargetExchange>();
+    exchange->request = std::move(request);
+    exchange->on_sent = [&result] { result.sent = true; };
+    exchange->on_reply = [&result](RelayReply reply) {
+      result.reply = std::move(reply);
+    };
+    exchange->on_failure = [&result](PartFailure failure) {
+      result.failure = failure;
+    };
+    this->pool->Submit(exchange);
+    return exchange;
+  }
+  Result Exchange(const std::string& id = "id") {
+    Result result;
+    this->Submit(result, id);
+    this->RunUntil([&result] { return result.reply || result.failure; });
+    return result;
+  }
+  void RunUntil(const std::function<bool()>& done) {
+    const TimePoint limit = this->clock.Now() + kHangLimit;
+    while (!done() && this->clock.Now() < limit) {
+      this->io.restart();
+      this->io.run_one_for(std::chrono::milliseconds(50));
+    }
+  }
+
+  Clock clock;
+  boost::asio::io_context io;
+  RelayWire wire = platform::MakeRelayWire();
+  RelayContext context{this->io, this->clock, this->wire};
+  bool wrong_target = false;
+  TargetPtr state;
+  std::shared_ptr<TargetPool> pool;
+};
+
+PoolFixture::Result ExchangeWith(ScriptedReply reply) {
+  ScriptedServer server([&reply](const std::string&) { return reply; });
+  PoolFixture world(server.address());
+  return world.Exchange();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(target_pool_test)
+
+// Guards against the reply to an earlier request that reaches a later one.
+BOOST_AUTO_TEST_CASE(ReplyToAnotherRequestIsSkipped) {
+  const auto result =
+      ExchangeWith({Reply("other", "wrong") + Reply("id", "right")});
+  BOOST_REQUIRE(result.reply);
+  BOOST_TEST(result.reply->body == "right");
+}
+
+// Guards against a body that ends early and looks complete.
+BOOST_AUTO_TEST_CASE(ReplyThatBreaksOffIsLost) {
+  std::string bytes = Reply("id", "0123456789");
+  bytes.resize(bytes.size() - 3);
+  const auto result = ExchangeWith({bytes, ScriptedReply::Then::kClose});
+  BOOST_TEST((result.failure == PartFailure::kLost));
+}
+
+// Guards against refusing replies that end with their connection.
+BOOST_AUTO_TEST_CASE(ReplyWithoutLengthEndsWithItsConnection) {
+  const auto result = ExchangeWith(
+      {"HTTP/1.1 200 OK\r\nX-Auburnyard-Request-Id: id\r\n\r\nwhole",
+       ScriptedReply::Then::kClose});
+  BOOST_REQUIRE(result.reply);
+  BOOST_TEST(result.reply->body == "whole");
+}
+
+// Guards against a reset that looks like the end of a reply without a length.
+BOOST_AUTO_TEST_CASE(ResetReplyWithoutLengthIsLost) {
+  const auto result = ExchangeWith(
+      {"HTTP/1.1 200 OK\r\nX-Auburnyard-Request-Id: id\r\n\r\npart",
+       ScriptedReply::Then::kReset});
+  BOOST_TEST((result.failure == PartFailure::kLost));
+}
+
+// Guards against bytes after a reply that are taken for the next one.
+BOOST_AUTO_TEST_CASE(ExtraBytesCloseTheConnection) {
+  ScriptedServer server([](const std::string&) {
+    return ScriptedReply{Reply("id", "first") + Reply("id", "extra")};
+  });
+  PoolFixture world(server.address());
+  BOOST_TEST(world.Exchange().reply->body == "first");
+  BOOST_TEST(world.Exchange().reply->body == "first");
+  BOOST_TEST(server.connections() == 2);
+}
+
+// Guards against a new connection for each request.
+BOOST_AUTO_TEST_CASE(ConnectionIsKept) {
+  ScriptedServer server(
+      [](const std::string&) { return ScriptedReply{Reply("id", "body")}; });
+  PoolFixture world(server.address());
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(world.Exchange().reply->body == "body");
+  }
+  BOOST_TEST(server.connections() == 1);
+}
+
+// Guards against a success that cannot be shown to belong to the request.
+BOOST_AUTO_TEST_CASE(SuccessWithoutIdentifierIsLost) {
+  const auto result =
+      ExchangeWith({"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"});
+  BOOST_TEST((result.failure == PartFailure::kLost));
+}
+
+// Guards against bytes of a content coding that pass as the target's own.
+BOOST_AUTO_TEST_CASE(EncodedBodyIsNotPassedOn) {
+  const auto result = ExchangeWith(
+      {Reply("id", "zip", "200 OK", "Content-Encoding: gzip\r\n")});
+  BOOST_TEST((result.failure == PartFailure::kLost));
+}
+
+// Guards against a refusal that is taken for a failed execution.
+BOOST_AUTO_TEST_CASE(RefusalIsNotAnExecution) {
+  const auto result = ExchangeWith({Reply("id", "", "503 Service Unavailable",
+                                          "X-Auburnyard-Not-Executed: 1\r\n")});
+  BOOST_TEST((result.failure == PartFailure::kRefused));
+}
+
+// Guards against work for a target whose address another one has taken over.
+BOOST_AUTO_TEST_CASE(WrongTargetIsReported) {
+  ScriptedServer server([](const std::string&) {
+    return ScriptedReply{Reply("id", "", "421 Misdirected Request")};
+  });
+  PoolFixture world(server.address());
+  BOOST_TEST((world.Exchange().failure == PartFailure::kRefused));
+  BOOST_TEST(world.wrong_target);
+}
+
+// Guards against "may have run" for a request that never left this host.
+BOOST_AUTO_TEST_CASE(RefusedConnectionMeansNothingWasSent) {
+  std::string address;
+  {
+    const ScriptedServer closed(
+        [](const std::string&) { return ScriptedReply{}; });
+    address = closed.address();
+  }
+  PoolFixture world(address);
+  const auto result = world.Exchange();
+  BOOST_TEST((result.failure == PartFailure::kUnreachable));
+  BOOST_TEST(!result.sent);
+}
+
+// Guards against a connection that is lost with each cancelled attempt.
+BOOST_AUTO_TEST_CASE(AbandonedExchangeKeepsItsConnection) {
+  ScriptedServer server([](const std::string& head) {
+    const bool first = head.find("Target-Instance") != std::string::npos;
+    return ScriptedReply{first ? Reply("first", "late") + Reply("id", "body")
+                               : ""};
+  });
+  PoolFixture world(server.address());
+  PoolFixture::Result abandoned;
+  const TargetExchangePtr exchange = world.Submit(abandoned, "first");
+  world.RunUntil([&abandoned] { return abandoned.sent; });
+  world.pool->Abandon(exchange);
+  world.RunUntil([&world] { return world.state->in_flight() == 0; });
+  BOOST_TEST(!abandoned.reply.has_value());
+  BOOST_TEST(!abandoned.failure.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
--- /dev/null
+++ b/util/relay_standin/relay_target.cc
@@ -0,0 +1,113 @@
+#include "util/relay_standin/relay_target.h"
+
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "auburnyard/record_merger.h"
+#include "platform/wire_names.h"
+
+namespace auburnyard::util {
+
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+constexpr int kInternalError = 500;
+constexpr int kSlots = 2;
+
+}  // namespace
+
+RelayTarget::RelayTarget(boost::asio::io_context& io,
+                         std::string target_id,
+                         std::string target_service,
+                         std::string target_domain)
+    : context(io),
+      name(std::move(target_id)),
+      service_name(std::move(target_service)),
+      domain(std::move(target_domain)) {
+  this->server = std::make_shared<HttpServer>(
+      io, HttpServerLimits(),
+      [this](const HttpRequest& request, const HttpResponder& respond) {
+        this->Handle(request, respond);
+      });
+}
+
+void RelayTarget::Listen(std::uint16_t port) {
+  this->server->Listen("127.0.0.1", port);
+}
+
+void RelayTarget::Crash() {
+  this->server->StopAccepting();
+  this->server->AbortConnections();
+}
+
+std::string RelayTarget::Registration(bool draining) const {
+  return boost::json::serialize(boost::json::object{
+      {"service", this->service_name},
+      {"address", "127.0.0.1:" + std::to_string(this->server->port())},
+      {"zone", this->domain},
+      {"version", "v1"},
+      {"slots", kSlots},
+      {"state", draining ? "draining" : "ready"},
+      {"warmup_left_ms", 0},
+      {"seq_num", draining ? 2 : 1}});
+}
+
+std::string RelayTarget::Record() const {
+  std::string record = this->service_name;
+  record.resize(RecordMerger::kRecordBytes, '.');
+  return record;
+}
+
+std::map<std::string, int> RelayTarget::executions() const {
+  const std::lock_guard lock(this->mutex);
+  return this->executed;
+}
+
+void RelayTarget::Handle(const HttpRequest& request,
+                         const HttpResponder& respond) {
+  ++this->arrival_count;
+  const std::string request_id(request.Header(platform::kRequestId));
+  const HttpHeaders identity = {
+      {std::string(platform::kRequestId), request_id}};
+  if (request.Header(platform::kTarget) != this->name) {
+    respond({.status = kMisdirected, .headers = identity});
+    return;
+  }
+  if (this->faults.sheds) {
+    HttpResponse refusal{.status = kUnavailable, .headers = identity};
+    refusal.headers.emplace_back(platform::kNotRun, "1");
+    respond(std::move(refusal));
+    return;
+  }
+  HttpResponse response = this->Run(request_id);
+  response.headers.insert(response.headers.end(), identity.begin(),
+                          identity.end());
+  const int delay = this->faults.delay_ms;
+  if (delay == 0) {
+    respond(std::move(response));
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      this->context, std::chrono::milliseconds(delay));
+  timer->async_wait(
+      [timer, respond, response](boost::system::error_code) mutable {
+        respond(std::move(response));
+      });
+}
+
+HttpResponse RelayTarget::Run(const std::string& request_id) {
+  const std::lock_guard lock(this->mutex);
+  ++this->executed[request_id];
+  HttpResponse response{.status = this->faults.fails ? kInternalError : 200,
+                        .body = this->Record(),
+                        .content_type = "application/octet-stream"};
+  response.headers.emplace_back(platform::kSignature,
+                                this->name + "." + request_id);
+  return response;
+}
+
+}  // namespace auburnyard::util
--- /dev/null
+++ b/util/relay_standin/relay_target.h
@@ -0,0 +1,66 @@
+#ifndef AUBURNYARD_UTIL_RELAY_STANDIN_RELAY_TARGET_H_
+#define AUBURNYARD_UTIL_RELAY_STANDIN_RELAY_TARGET_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "src/net/http_server.h"
+
+namespace auburnyard::util {
+
+/// Stand-in for a target of the platform. It answers with one record that names
+/// its service, and remembers each execution. Thread-safe.
+class RelayTarget {
+ public:
+  struct Faults {
+    std::atomic<bool> sheds{false};  ///< refuses before it runs
+    std::atomic<bool> fails{false};  ///< runs and answers 500
+    std::atomic<int> delay_ms{0};
+  };
+
+  RelayTarget(boost::asio::io_context& context,
+              std::string id,
+              std::string service,
+              std::string domain);
+  RelayTarget(const RelayTarget&) = delete;
+  RelayTarget& operator=(const RelayTarget&) = delete;
+
+  void Listen(std::uint16_t port = 0);
+  /// Resets all connections and accepts no more.
+  void Crash();
+  /// What it writes into the store.
+  std::string Registration(bool draining = false) const;
+
+  const std::string& id() const { return this->name; }
+  const std::string& service() const { return this->service_name; }
+  /// The record that it answers with.
+  std::string Record() const;
+  /// Executions by request.
+  std::map<std::string, int> executions() const;
+  std::uint64_t arrivals() const { return this->arrival_count.load(); }
+  Faults faults;
+
+ private:
+  void Handle(const HttpRequest& request, const HttpResponder& respond);
+  HttpResponse Run(const std::string& request_id);
+
+  boost::asio::io_context& context;
+  std::string name;
+  std::string service_name;
+  std::string domain;
+  std::shared_ptr<HttpServer> server;
+  mutable std::mutex mutex;
+  std::map<std::string, int> executed;
+  std::atomic<std::uint64_t> arrival_count{0};
+};
+
+}  // namespace auburnyard::util
+
+#endif  // AUBURNYARD_UTIL_RELAY_STANDIN_RELAY_TARGET_H_
--- /dev/null
+++ b/util/relay_standin/store_standin.cc
@@ -0,0 +1,259 @@
+#include "util/relay_standin/store_standin.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "platform/base64.h"
+
+namespace auburnyard::util {
+
+namespace {
+
+constexpr std::size_t kPageItems = 50;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+
+HttpResponse Json(const boost::json::object& body) {
+  return {.body = boost::json::serialize(body)};
+}
+
+std::uint64_t NumberAtEnd(std::string_view path) {
+  return std::stoull(std::string(path.substr(path.rfind('/') + 1)));
+}
+
+}  // namespace
+
+StoreStandin::StoreStandin(boost::asio::io_context& io) : context(io) {
+  HttpServerLimits limits;
+  limits.max_body_bytes = std::uint64_t{4} * 1024 * 1024;
+  this->server = std::make_shared<HttpServer>(
+      io, limits,
+      [this](const HttpRequest& request, const HttpResponder& respond) {
+        this->Handle(request, respond);
+      });
+}
+
+void StoreStandin::Listen(std::uint16_t port) {
+  this->server->Listen("127.0.0.1", port);
+}
+
+std::string StoreStandin::address() const {
+  return "127.0.0.1:" + std::to_string(this->server->port());
+}
+
+void StoreStandin::SetFault(StoreFault new_fault) {
+  const std::lock_guard lock(this->mutex);
+  this->fault = new_fault;
+}
+
+std::uint64_t StoreStandin::calls(const std::string& path) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->call_counts.find(path);
+  return found == this->call_counts.end() ? 0 : found->second;
+}
+
+bool StoreStandin::Has(const std::string& key) const {
+  const std::lock_guard lock(this->mutex);
+  return this->items.contains(key);
+}
+
+void StoreStandin::Put(const std::string& key, std::string value) {
+  const std::lock_guard lock(this->mutex);
+  this->Change(key, platform::EncodeBase64(value), 0);
+}
+
+void StoreStandin::Remove(const std::string& key) {
+  const std::lock_guard lock(this->mutex);
+  this->Change(key, std::nullopt, 0);
+}
+
+void StoreStandin::ForgetHistory() {
+  const std::lock_guard lock(this->mutex);
+  this->forgotten = ++this->revision;
+  this->history.clear();
+  this->WakeWatches();
+}
+
+void StoreStandin::Change(const std::string& key,
+                          std::optional<std::string> value,
+                          std::uint64_t lease) {
+  ++this->revision;
+  this->history.push_back({key, this->revision, value});
+  if (value) {
+    this->items[key] = {std::move(*value), this->revision, lease};
+  } else {
+    this->items.erase(key);
+  }
+  this->WakeWatches();
+}
+
+boost::json::object StoreStandin::EventsAfter(std::string_view prefix,
+                                              std::uint64_t after) const {
+  boost::json::array events;
+  for (const Event& event : this->history) {
+    if (event.revision <= after || !event.key.starts_with(prefix)) {
+      continue;
+    }
+    boost::json::object entry = {{"key", event.key},
+                                 {"revision", event.revision}};
+    if (event.value) {
+      entry["value"] = *event.value;
+    } else {
+      entry["compacted"] = true;
+    }
+    events.push_back(std::move(entry));
+  }
+  return {{"events", std::move(events)}, {"at_rev", this->revision}};
+}
+
+void StoreStandin::WakeWatches() {
+  std::vector<std::shared_ptr<Waiting>> still;
+  for (const std::shared_ptr<Waiting>& watch : this->watches) {
+    if (watch->after < this->forgotten) {
+      watch->timer->cancel();
+      watch->respond({.status = kGone, .body = "{}"});
+      continue;
+    }
+    boost::json::object events = this->EventsAfter(watch->prefix, watch->after);
+    if (this->fault != StoreFault::kNone ||
+        events.at("events").as_array().empty()) {
+      still.push_back(watch);
+      continue;
+    }
+    watch->timer->cancel();
+    watch->respond(Json(events));
+  }
+  this->watches = std::move(still);
+}
+
+void StoreStandin::Handle(const HttpRequest& request,
+                          const HttpResponder& respond) {
+  const std::lock_guard lock(this->mutex);
+  const std::string call = request.path.substr(0, request.path.find('/', 1));
+  ++this->call_counts[call];
+  if (this->fault == StoreFault::kSilent) {
+    // The answer never comes; the connection is held until the server ends.
+    auto held = std::make_shared<boost::asio::steady_timer>(
+        this->context, std::chrono::minutes(10));
+    held->async_wait([held, respond](boost::system::error_code) {
+      respond({.status = kUnavailable});
+    });
+    return;
+  }
+  if (this->fault == StoreFault::kBusy) {
+    respond({.status = kUnavailable, .body = "{}"});
+    return;
+  }
+  if (call == "/kv-range") {
+    this->Range(request, respond);
+  } else if (call == "/kv-watch") {
+    this->Watch(request, respond);
+  } else {
+    HttpResponse response{.status = kNotFound, .body = "{}"};
+    if (call == "/kv-lease") {
+      response = this->Lease(request);
+    } else if (call == "/kv-txn") {
+      response = this->Transact(request);
+    } else if (call == "/kv-keep") {
+      const bool alive = this->leases.contains(NumberAtEnd(request.path));
+      response = {.status = alive ? 200 : kNotFound, .body = "{}"};
+    } else if (call == "/kv-lease-end") {
+      response = this->EndLease(NumberAtEnd(request.path));
+    }
+    response.close = this->fault == StoreFault::kLostAnswers;
+    if (response.close) {
+      response.status = kUnavailable;
+    }
+    respond(std::move(response));
+  }
+}
+
+void StoreStandin::Range(const HttpRequest& request,
+                         const HttpResponder& respond) const {
+  const std::string prefix = request.Parameter("prefix");
+  const std::string after = request.Parameter("after");
+  boost::json::array page;
+  bool more = false;
+  for (auto it = after.empty() ? this->items.lower_bound(prefix)
+                               : this->items.upper_bound(after);
+       it != this->items.end() && it->first.starts_with(prefix); ++it) {
+    if (page.size() == kPageItems) {
+      more = true;
+      break;
+    }
+    page.push_back({{"key", it->first},
+                    {"value", it->second.value},
+                    {"revision", it->second.revision},
+                    {"lease_id", it->second.lease}});
+  }
+  respond(Json({{"items", std::move(page)},
+                {"has_more", more},
+                {"at_rev", this->revision}}));
+}
+
+void StoreStandin::Watch(const HttpRequest& request,
+                         const HttpResponder& respond) {
+  auto watch = std::make_shared<Waiting>();
+  watch->prefix = request.Parameter("prefix");
+  watch->after = std::stoull(request.Parameter("after"));
+  watch->respond = respond;
+  watch->timer = std::make_shared<boost::asio::steady_timer>(
+      this->context,
+      std::chrono::milliseconds(std::stoull(request.Parameter("wait_ms"))));
+  watch->timer->async_wait([this, weak = std::weak_ptr<Waiting>(watch)](
+                               boost::system::error_code error) {
+    const auto waiting = weak.lock();
+    if (error || waiting == nullptr) {
+      return;
+    }
+    const std::lock_guard lock(this->mutex);
+    if (std::erase(this->watches, waiting) != 0) {
+      waiting->respond(
+          Json(this->EventsAfter(waiting->prefix, waiting->after)));
+    }
+  });
+  this->watches.push_back(std::move(watch));
+  this->WakeWatches();
+}
+
+HttpResponse StoreStandin::Lease(const HttpRequest&) {
+  const std::uint64_t lease = this->next_lease++;
+  this->leases.insert(lease);
+  return Json({{"lease_id", lease}});
+}
+
+HttpResponse StoreStandin::Transact(const HttpRequest& request) {
+  const boost::json::value body = boost::json::parse(request.body);
+  for (const boost::json::value& put : body.at("put_op").as_array()) {
+    const auto lease = put.at("lease_id").to_number<std::uint64_t>();
+    if (lease != 0 && !this->leases.contains(lease)) {
+      return {.status = kNotFound, .body = "{}"};
+    }
+    this->Change(std::string(put.at("key").as_string()),
+                 std::string(put.at("value").as_string()), lease);
+  }
+  return Json({{"revision", this->revision}});
+}
+
+HttpResponse StoreStandin::EndLease(std::uint64_t lease) {
+  if (this->leases.erase(lease) == 0) {
+    return {.status = kNotFound, .body = "{}"};
+  }
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : this->items) {
+    if (item.lease == lease) {
+      keys.push_back(key);
+    }
+  }
+  for (const std::string& key : keys) {
+    this->Change(key, std::nullopt, 0);
+  }
+  return {.body = "{}"};
+}
+
+}  // namespace auburnyard::util
--- /dev/null
+++ b/util/relay_standin/store_standin.h
@@ -0,0 +1,95 @@
+#ifndef AUBURNYARD_UTIL_RELAY_STANDIN_STORE_STANDIN_H_
+#define AUBURNYARD_UTIL_RELAY_STANDIN_STORE_STANDIN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include "src/net/http_server.h"
+
+namespace auburnyard::util {
+
+/// How the store misbehaves.
+enum class StoreFault {
+  kNone,
+  kSilent,       ///< no answers
+  kBusy,         ///< 503
+  kLostAnswers,  ///< writes take effect, their answers are lost
+};
+
+/// Small stand-in for the platform's store: keys, watches, leases. Thread-safe.
+class StoreStandin {
+ public:
+  explicit StoreStandin(boost::asio::io_context& context);
+  StoreStandin(const StoreStandin&) = delete;
+  StoreStandin& operator=(const StoreStandin&) = delete;
+
+  void Listen(std::uint16_t port = 0);
+  std::string address() const;
+
+  void Put(const std::string& key, std::string value);
+  void Remove(const std::string& key);
+  void SetFault(StoreFault fault);
+  /// Watches from before now are told that the history is gone.
+  void ForgetHistory();
+  std::uint64_t calls(const std::string& path) const;
+  bool Has(const std::string& key) const;
+
+ private:
+  struct Item {
+    std::string value;  // base64
+    std::uint64_t revision = 0;
+    std::uint64_t lease = 0;
+  };
+  struct Event {
+    std::string key;
+    std::uint64_t revision = 0;
+    std::optional<std::string> value;
+  };
+  struct Waiting {
+    std::string prefix;
+    std::uint64_t after = 0;
+    HttpResponder respond;
+    std::shared_ptr<boost::asio::steady_timer> timer;
+  };
+
+  void Handle(const HttpRequest& request, const HttpResponder& respond);
+  void Range(const HttpRequest& request, const HttpResponder& respond) const;
+  void Watch(const HttpRequest& request, const HttpResponder& respond);
+  HttpResponse Lease(const HttpRequest& request);
+  HttpResponse Transact(const HttpRequest& request);
+  HttpResponse EndLease(std::uint64_t lease);
+  void Change(const std::string& key,
+              std::optional<std::string> value,
+              std::uint64_t lease);
+  boost::json::object EventsAfter(std::string_view prefix,
+                                  std::uint64_t after) const;
+  void WakeWatches();
+
+  boost::asio::io_context& context;
+  std::shared_ptr<HttpServer> server;
+  mutable std::mutex mutex;
+  std::map<std::string, Item> items;
+  std::vector<Event> history;
+  std::vector<std::shared_ptr<Waiting>> watches;
+  std::set<std::uint64_t> leases;
+  std::map<std::string, std::uint64_t> call_counts;
+  std::uint64_t revision = 1;
+  std::uint64_t forgotten = 0;
+  std::uint64_t next_lease = 1;
+  StoreFault fault = StoreFault::kNone;
+};
+
+}  // namespace auburnyard::util
+
+#endif  // AUBURNYARD_UTIL_RELAY_STANDIN_STORE_STANDIN_H_
