Divide what a cold target bears among all hosts; test targets, bundles and the watch

Cause: services may state a rate for targets in warm-up; with several hosts no one of them knows the sum. Ruled out: a call to the store per request. Change: the rate is divided by rank among the registered hosts.

--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -39,7 +39,7 @@
   const detail::JsonReader reader(document, "", ErrorKind::kBadSettings);
   reader.AllowOnly({"host", "failure_domain", "region", "domain_regions",
                     "listen", "store", "shutdown_time_s", "repeats",
-                    "log_level"});
+                    "cold_targets", "log_level"});
   RelaySettings settings;
   settings.host_name = reader.String("host");
   settings.failure_domain = reader.String("failure_domain");
@@ -68,6 +68,10 @@
   settings.repeat_ratio = repeats.Number("ratio", 0, kMaxRatio, 0);
   settings.repeat_burst = repeats.Number("burst", 0, kMaxBurst, 0);
   settings.repeat_window = Seconds(repeats, "window_s");
+  const detail::JsonReader cold = reader.Child("cold_targets");
+  cold.AllowOnly({"rate_factor", "rate_margin"});
+  settings.cold_rate_factor = cold.Number("rate_factor", 0, kMaxRatio, 1);
+  settings.cold_rate_margin = cold.Number("rate_margin", 0, kMaxBurst, 0);
   settings.log_level = reader.String("log_level", "info");
   return settings;
 }
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -23,6 +23,8 @@
   double repeat_ratio = 0;
   double repeat_burst = 0;
   std::chrono::seconds repeat_window{10};
+  double cold_rate_factor = 1;  ///< of the rate that a cold target states
+  double cold_rate_margin = 0;  ///< requests per second beyond
   std::string log_level = "info";
 };
 
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -26,11 +26,13 @@
 TargetTable::TargetTable(const RelayContext& relay_context,
                          Place here,
                          DomainRegions domain_regions,
-                         const HostTable& host_table)
+                         const HostTable& host_table,
+                         ColdLimits limits_when_cold)
     : context(relay_context),
       place(std::move(here)),
       regions(std::move(domain_regions)),
-      hosts(host_table) {}
+      hosts(host_table),
+      cold_limits(std::move(limits_when_cold)) {}
 
 std::string_view TargetTable::RegionOf(std::string_view domain) const {
   const auto found = this->regions.find(domain);
@@ -116,6 +118,7 @@
   if (list->second.empty()) {
     this->by_service.erase(list);
   }
+  this->cold_rates.erase(pool->target()->entry().id);
   this->pools.erase(found);
   this->retired.push_back(pool);
   pool->Retire();
@@ -205,9 +208,9 @@
              allowed_regions.end();
 }
 
-TargetPtr TargetTable::Choose(std::string_view service,
-                              std::span<const std::string> allowed_regions,
-                              std::span<const TargetPtr> tried) const {
+TargetPtr TargetTable::Best(std::string_view service,
+                            std::span<const std::string> allowed_regions,
+                            std::span<const TargetPtr> excluded) const {
   const auto found = this->by_service.find(service);
   if (found == this->by_service.end()) {
     return nullptr;
@@ -216,7 +219,7 @@
   TargetPtr best;
   Duration best_cost{};
   for (const TargetPtr& target : found->second) {
-    if (std::find(tried.begin(), tried.end(), target) != tried.end() ||
+    if (std::find(excluded.begin(), excluded.end(), target) != excluded.end() ||
         !this->MayReceive(*target, allowed_regions)) {
       continue;
     }
@@ -229,6 +232,44 @@
   return best;
 }
 
+TargetPtr TargetTable::Choose(std::string_view service,
+                              std::span<const std::string> allowed_regions,
+                              std::span<const TargetPtr> tried) {
+  TargetPtr best = this->Best(service, allowed_regions, tried);
+  if (best == nullptr || this->TakeColdRequest(*best)) {
+    return best;
+  }
+  std::vector<TargetPtr> excluded(tried.begin(), tried.end());
+  while (best != nullptr && !this->TakeColdRequest(*best)) {
+    excluded.push_back(best);
+    best = this->Best(service, allowed_regions, excluded);
+  }
+  return best;
+}
+
+TargetPtr TargetTable::Preview(std::string_view service) const {
+  return this->Best(service, {}, {});
+}
+
+// Whether the target is warm or this host may send it one more request now.
+bool TargetTable::TakeColdRequest(const TargetState& target) {
+  const TimePoint now = this->context.clock.Now();
+  const ServiceLimits* limits =
+      this->routes == nullptr ? nullptr
+                              : this->routes->Service(target.entry().service);
+  if (!target.Cold(now) || limits == nullptr ||
+      limits->warm_up_requests_per_second <= 0) {
+    return true;
+  }
+  const double allowed =
+      limits->warm_up_requests_per_second * this->cold_limits.rate_factor +
+      this->cold_limits.rate_margin;
+  const std::string& id = target.entry().id;
+  return this->cold_rates[id].Take(
+      now, allowed, this->hosts.Sharing(now),
+      this->hosts.Rank(this->cold_limits.host_name, id, now));
+}
+
 std::shared_ptr<TargetPool> TargetTable::PoolOf(const TargetPtr& target) const {
   return this->pools.at(target->entry().id);
 }
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "auburnyard/cold_rate.h"
 #include "auburnyard/host_table.h"
 #include "auburnyard/route_table.h"
 #include "auburnyard/target_state.h"
@@ -27,10 +28,18 @@
     std::string region;
   };
 
+  /// How all hosts divide what a cold target bears.
+  struct ColdLimits {
+    std::string host_name;
+    double rate_factor = 1;  ///< of the stated requests per second
+    double rate_margin = 0;  ///< requests per second beyond
+  };
+
   TargetTable(const RelayContext& context,
               Place here,
               DomainRegions regions,
-              const HostTable& hosts);
+              const HostTable& hosts,
+              ColdLimits cold_limits);
 
   /// Adds a target or takes over its changed registration.
   void Upsert(const TargetEntry& entry);
@@ -46,10 +55,12 @@
   void SetRoutes(std::shared_ptr<const RouteTable> table);
 
   /// The target with the lowest cost among those that may receive work of the
-  /// service now, or null.
+  /// service now, or null. A choice counts as a request at a cold target.
   TargetPtr Choose(std::string_view service,
                    std::span<const std::string> allowed_regions,
-                   std::span<const TargetPtr> tried) const;
+                   std::span<const TargetPtr> tried);
+  /// As Choose, without counting.
+  TargetPtr Preview(std::string_view service) const;
   /// Pool of a target that was just chosen.
   std::shared_ptr<TargetPool> PoolOf(const TargetPtr& target) const;
   /// Targets that are registered for the service.
@@ -61,6 +72,10 @@
  private:
   using PoolPtr = std::shared_ptr<TargetPool>;
 
+  TargetPtr Best(std::string_view service,
+                 std::span<const std::string> allowed_regions,
+                 std::span<const TargetPtr> excluded) const;
+  bool TakeColdRequest(const TargetState& target);
   bool MayReceive(const TargetState& target,
                   std::span<const std::string> allowed_regions) const;
   void Add(const TargetEntry& entry);
@@ -75,11 +90,13 @@
   Place place;
   DomainRegions regions;
   const HostTable& hosts;
+  ColdLimits cold_limits;
   std::shared_ptr<const RouteTable> routes;
   std::map<std::string, PoolPtr, std::less<>> pools;  // by target
   std::map<std::string, std::vector<TargetPtr>, std::less<>> by_service;
   std::vector<PoolPtr> retired;  // still have exchanges
-  std::map<std::string, TimePoint, std::less<>> removals;  // held back until
+  std::map<std::string, TimePoint, std::less<>> removals;   // held back until
+  std::map<std::string, ColdRate, std::less<>> cold_rates;  // by target
   std::set<std::string, std::less<>> evacuated;
   TimePoint hold_removals_until{};
   TimePoint next_warm_up{};
--- a/test/fan_out_fixture.h
+++ b/test/fan_out_fixture.h
@@ -45,6 +45,9 @@
     FanOutPlan plan;
     plan.route = &this->route;
     plan.services.assign(this->names.begin(), this->names.end());
+    if (!this->bundled.empty()) {
+      plan.bundles.push_back({this->TargetOf("host"), this->bundled});
+    }
     plan.arrival = At(0);
     plan.answer_by = At(100);
     plan.deadline = At(800);
@@ -78,7 +81,11 @@
   std::vector<FanOutResult> results;
   int repeats_allowed = 100;
   int repeats_taken = 0;
-  std::string unavailable;  ///< a service without targets
+  std::string unavailable;             ///< a service without targets
+  std::vector<std::uint32_t> bundled;  ///< parts that an entry host fetches
+  std::size_t replica_count = 2;
+  int bundles_sent = 0;
+  int bundles_abandoned = 0;
   std::unique_ptr<FanOut> machine;
 
  private:
@@ -106,6 +113,11 @@
     hooks.finish = [this](FanOutResult result) {
       this->results.push_back(std::move(result));
     };
+    hooks.replicas = [this](std::string_view) { return this->replica_count; };
+    hooks.send_bundle = [this](std::uint32_t, const TargetPtr&) {
+      ++this->bundles_sent;
+    };
+    hooks.abandon_bundle = [this](std::uint32_t) { ++this->bundles_abandoned; };
     return hooks;
   }
 
--- /dev/null
+++ b/test/store_watch_test.cc
@@ -0,0 +1,156 @@
+#include "src/relay/store_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "platform/relay_dialect.h"
+#include "platform/store_dialect.h"
+#include "src/relay/store_registration.h"
+#include "util/relay_standin/store_standin.h"
+
+namespace auburnyard {
+
+namespace {
+
+constexpr std::chrono::seconds kHangLimit{20};  // only ends a hanging test
+
+class WatchFixture {
+ public:
+  WatchFixture() { this->store.Listen(); }
+
+  void Start() {
+    StoreWatch::Hooks hooks;
+    hooks.on_snapshot = [this](const std::vector<StoreItem>& items) {
+      ++this->snapshots;
+      this->known.clear();
+      for (const StoreItem& item : items) {
+        this->known[item.key] = item.value;
+      }
+    };
+    hooks.on_change = [this](const StoreItem& item) {
+      if (item.removed) {
+        this->known.erase(item.key);
+      } else {
+        this->known[item.key] = item.value;
+      }
+    };
+    hooks.on_regained = [this] { ++this->regained; };
+    hooks.on_call = [](std::string_view, bool) {};
+    this->watch = std::make_shared<StoreWatch>(
+        this->context, this->dialect, ParseHostPort(this->store.address()), "",
+        1, std::move(hooks));
+    this->watch->Start();
+  }
+  ~WatchFixture() {
+    if (this->watch != nullptr) {
+      this->watch->Stop();
+    }
+    this->io.run_for(std::chrono::milliseconds(1));
+  }
+  bool Eventually(const std::function<bool()>& condition) {
+    const TimePoint limit = this->clock.Now() + kHangLimit;
+    while (!condition() && this->clock.Now() < limit) {
+      this->io.restart();
+      this->io.run_one_for(std::chrono::milliseconds(50));
+    }
+    return condition();
+  }
+
+  Clock clock;
+  boost::asio::io_context io;
+  RelayWire wire = platform::MakeRelayWire();
+  StoreWire dialect = platform::MakeStoreWire();
+  RelayContext context{this->io, this->clock, this->wire};
+  util::StoreStandin store{this->io};
+  std::map<std::string, std::string> known;
+  int snapshots = 0;
+  int regained = 0;
+  std::shared_ptr<StoreWatch> watch;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(store_watch_test)
+
+// Guards against keys that are lost at the border of two pages.
+BOOST_AUTO_TEST_CASE(AllPagesAreRead) {
+  WatchFixture world;
+  for (int i = 0; i < 130; ++i) {
+    world.store.Put("key/" + std::to_string(i), std::to_string(i));
+  }
+  world.Start();
+  BOOST_TEST(world.Eventually([&world] { return world.known.size() == 130U; }));
+  BOOST_TEST(world.known["key/129"] == "129");
+}
+
+// Guards against changes that are missed between the read and the watch, and
+// while a watch is renewed.
+BOOST_AUTO_TEST_CASE(ChangesArriveInOrder) {
+  WatchFixture world;
+  world.Start();
+  for (int i = 0; i < 5; ++i) {
+    world.store.Put("a", std::to_string(i));
+    const std::string expected = std::to_string(i);
+    BOOST_TEST(world.Eventually(
+        [&world, &expected] { return world.known["a"] == expected; }));
+  }
+  world.store.Remove("a");
+  BOOST_TEST(world.Eventually([&world] { return !world.known.contains("a"); }));
+  BOOST_TEST(world.snapshots == 1);
+}
+
+// Guards against a host that misses changes whose history was dropped.
+BOOST_AUTO_TEST_CASE(LostHistoryIsReadAgain) {
+  WatchFixture world;
+  world.store.Put("a", "1");
+  world.Start();
+  BOOST_TEST(world.Eventually([&world] { return world.snapshots == 1; }));
+  world.store.ForgetHistory();
+  world.store.Put("b", "2");
+  BOOST_TEST(world.Eventually([&world] { return world.known["b"] == "2"; }));
+  BOOST_TEST(world.snapshots >= 2);
+}
+
+// Guards against old knowledge after an outage, and against an outage that
+// empties what is known.
+BOOST_AUTO_TEST_CASE(OutageKeepsKnowledgeAndEndsWithNews) {
+  WatchFixture world;
+  world.store.Put("a", "1");
+  world.Start();
+  BOOST_TEST(world.Eventually([&world] { return world.snapshots == 1; }));
+  world.store.SetFault(util::StoreFault::kBusy);
+  world.store.Put("a", "2");
+  const std::uint64_t before = world.store.calls("/kv-watch");
+  BOOST_TEST(world.Eventually([&world, before] {
+    return world.store.calls("/kv-watch") > before + 1;
+  }));
+  BOOST_TEST(world.known["a"] == "1");
+  world.store.SetFault(util::StoreFault::kNone);
+  BOOST_TEST(world.Eventually([&world] { return world.known["a"] == "2"; }));
+  BOOST_TEST(world.regained >= 1);
+}
+
+// Guards against a registration that stays after its host has left, and one
+// that is not written again after its lease has ended.
+BOOST_AUTO_TEST_CASE(RegistrationFollowsItsLease) {
+  WatchFixture world;
+  StoreRegistration::Hooks hooks;
+  hooks.on_call = [](std::string_view, bool) {};
+  StoreItem item;
+  item.key = "hosts/a";
+  item.value = "{}";
+  auto registration = std::make_shared<StoreRegistration>(
+      world.context, world.dialect, ParseHostPort(world.store.address()), item,
+      1, std::move(hooks));
+  registration->Start();
+  BOOST_TEST(world.Eventually([&world] { return world.store.Has("hosts/a"); }));
+  world.store.EndAllLeases();
+  BOOST_TEST(!world.store.Has("hosts/a"));
+  BOOST_TEST(world.Eventually([&world] { return world.store.Has("hosts/a"); }));
+  registration->Release();
+  BOOST_TEST(
+      world.Eventually([&world] { return !world.store.Has("hosts/a"); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
--- /dev/null
+++ b/test/target_table_test.cc
@@ -0,0 +1,166 @@
+#include "src/relay/target_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "platform/relay_dialect.h"
+
+namespace auburnyard {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+class TableFixture {
+ public:
+  TableFixture() { this->clock.Pause(); }
+
+  static TargetEntry Entry(std::string id, std::string domain) {
+    return {.id = std::move(id),
+            .service = "s",
+            .address = "127.0.0.1:9",
+            .failure_domain = std::move(domain),
+            .slots = 2};
+  }
+  std::string Chosen(std::vector<std::string> regions = {},
+                     std::vector<TargetPtr> tried = {}) {
+    const TargetPtr target = this->table.Choose("s", regions, tried);
+    return target == nullptr ? "" : target->entry().id;
+  }
+  void Pass(milliseconds time) {
+    this->clock.Advance(time);
+    this->table.Sweep();
+  }
+
+  Clock clock;
+  boost::asio::io_context io;
+  RelayWire wire = platform::MakeRelayWire();
+  RelayContext context{this->io, this->clock, this->wire};
+  HostTable hosts;
+  TargetTable table{this->context,
+                    {"d1", "r1"},
+                    {{"d1", "r1"}, {"d2", "r2"}},
+                    this->hosts,
+                    {}};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(target_table_test)
+
+// Guards against new work for targets that leave and for domains that operators
+// have taken out.
+BOOST_AUTO_TEST_CASE(LeavingTargetsAndEvacuatedDomainsGetNothing) {
+  TableFixture world;
+  world.table.Upsert(TableFixture::Entry("near", "d1"));
+  world.table.Upsert(TableFixture::Entry("far", "d2"));
+  BOOST_TEST(world.Chosen() == "near");
+  TargetEntry draining = TableFixture::Entry("near", "d1");
+  draining.draining = true;
+  draining.sequence = 1;
+  world.table.Upsert(draining);
+  BOOST_TEST(world.Chosen() == "far");
+  world.table.SetEvacuated("d2", true);
+  BOOST_TEST(world.Chosen().empty());
+  world.table.SetEvacuated("d2", false);
+  BOOST_TEST(world.Chosen() == "far");
+}
+
+// Guards against requests that leave the regions of their route.
+BOOST_AUTO_TEST_CASE(AllowedRegionsBind) {
+  TableFixture world;
+  world.table.Upsert(TableFixture::Entry("near", "d1"));
+  BOOST_TEST(world.Chosen({"r2"}).empty());
+  world.table.Upsert(TableFixture::Entry("far", "d2"));
+  BOOST_TEST(world.Chosen({"r2"}) == "far");
+}
+
+// Guards against a target that is used after its registration is gone.
+BOOST_AUTO_TEST_CASE(RemovedTargetIsNotChosen) {
+  TableFixture world;
+  world.table.Upsert(TableFixture::Entry("near", "d1"));
+  world.table.Remove("near");
+  BOOST_TEST(world.Chosen().empty());
+}
+
+// Guards against dropping all targets whose registrations lapsed while the
+// store was away, and against keeping one that does not come back.
+BOOST_AUTO_TEST_CASE(LapsedRegistrationsMayComeBack) {
+  TableFixture world;
+  world.table.Upsert(TableFixture::Entry("near", "d1"));
+  world.table.Upsert(TableFixture::Entry("far", "d2"));
+  world.table.OnStoreRegained();
+  world.table.Remove("near");
+  world.table.Remove("far");
+  BOOST_TEST(world.Chosen() == "near");
+  world.Pass(milliseconds(1'000));
+  world.table.Upsert(TableFixture::Entry("far", "d2"));
+  world.Pass(milliseconds(1'600));
+  BOOST_TEST(world.Chosen() == "far");
+}
+
+// Guards against an old report that brings a leaving target back.
+BOOST_AUTO_TEST_CASE(OlderReportIsIgnored) {
+  TableFixture world;
+  TargetEntry leaving = TableFixture::Entry("near", "d1");
+  leaving.sequence = 5;
+  leaving.draining = true;
+  world.table.Upsert(leaving);
+  TargetEntry old = TableFixture::Entry("near", "d1");
+  old.sequence = 4;
+  world.table.Upsert(old);
+  BOOST_TEST(world.Chosen().empty());
+  // A new start counts from the beginning.
+  TargetEntry restarted = TableFixture::Entry("near", "d1");
+  restarted.started_at_ms = 10;
+  world.table.Upsert(restarted);
+  BOOST_TEST(world.Chosen() == "near");
+}
+
+// Guards against more requests to a cold target, from all hosts together, than
+// it bears.
+BOOST_AUTO_TEST_CASE(ColdTargetsGetNoMoreThanTheirRate) {
+  constexpr int kHosts = 9;
+  constexpr double kAllowed = 2 * 1.5 + 5;
+  int sent = 0;
+  for (int i = 0; i < kHosts; ++i) {
+    TableFixture world;
+    for (int j = 0; j < kHosts; ++j) {
+      world.hosts.Upsert({.name = "h" + std::to_string(j),
+                          .address = "",
+                          .failure_domain = "d1"});
+    }
+    TargetTable table(world.context, {"d1", "r1"}, {{"d1", "r1"}}, world.hosts,
+                      {.host_name = "h" + std::to_string(i),
+                       .rate_factor = 1.5,
+                       .rate_margin = 5});
+    table.SetRoutes(std::make_shared<RouteTable>(
+        1, std::vector<Route>(),
+        std::map<std::string, ServiceLimits, std::less<>>{
+            {"s", {.max_connections = 1, .warm_up_requests_per_second = 2}}},
+        CallerLimits()));
+    TargetEntry cold = TableFixture::Entry("near", "d1");
+    cold.warm_up_left = milliseconds(3'000);
+    table.Upsert(cold);
+    for (int request = 0; request < 50; ++request) {
+      sent += table.Choose("s", {}, {}) == nullptr ? 0 : 1;
+    }
+  }
+  BOOST_TEST(sent >= 1);
+  BOOST_TEST(sent <= kAllowed);
+}
+
+// Guards against a target that stays closed after its warm-up.
+BOOST_AUTO_TEST_CASE(WarmTargetIsNotLimited) {
+  TableFixture world;
+  TargetEntry cold = TableFixture::Entry("near", "d1");
+  cold.warm_up_left = milliseconds(100);
+  world.table.Upsert(cold);
+  world.Pass(milliseconds(101));
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(world.Chosen() == "near");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
--- a/util/relay_standin/store_standin.cc
+++ b/util/relay_standin/store_standin.cc
@@ -79,6 +79,14 @@
   this->WakeWatches();
 }
 
+void StoreStandin::EndAllLeases() {
+  const std::lock_guard lock(this->mutex);
+  const std::set<std::uint64_t> ended = this->leases;
+  for (const std::uint64_t lease : ended) {
+    this->EndLease(lease);
+  }
+}
+
 void StoreStandin::Change(const std::string& key,
                           std::optional<std::string> value,
                           std::uint64_t lease) {
--- a/util/relay_standin/store_standin.h
+++ b/util/relay_standin/store_standin.h
@@ -42,6 +42,7 @@
   void SetFault(StoreFault fault);
   /// Watches from before now are told that the history is gone.
   void ForgetHistory();
+  void EndAllLeases();
   std::uint64_t calls(const std::string& path) const;
   bool Has(const std::string& key) const;
 
