--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -96,7 +96,7 @@
   spdlog::init_thread_pool(kQueueLength, 1);
   Install(level,
           std::make_shared<spdlog::async_logger>(
-              kLoggerName, std::make_shared<spdlog::sinks::stderr_sink_mt>(),
+              kLoggerName, std::make_shared<spdlog::sinks::stdout_sink_mt>(),
               spdlog::thread_pool(),
               spdlog::async_overflow_policy::overrun_oldest));
 }
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -22,7 +22,7 @@
   boost::json::value value;
 };
 
-/// Writes JSON lines to standard error from a thread of its own. `level` is
+/// Writes JSON lines to standard output from a thread of its own. `level` is
 /// "debug", "info", "warn" or "error"; throws Error(kBadSettings) for any
 /// other. Messages are dropped, oldest first, while the queue is full, so that
 /// a blocked reader of the log never blocks a query.
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -21,6 +21,7 @@
 // A reply that nobody waits for may still arrive within this time and save its
 // connection. Targets must not be at work half a second after the caller left.
 constexpr milliseconds kLinger{350};
+constexpr int kFirstServerError = 500;
 // Another entry host gets at least this long for its answer.
 constexpr milliseconds kShortestAnswerTime{5};
 // Exchanges that wait for a connection to one target.
@@ -226,11 +227,9 @@
   if (end.head.warm_up_left) {
     this->state->SetColdUntil(now + *end.head.warm_up_left);
   }
-  if (!end.complete) {
-    this->state->OnFailed(sent_at, now);
-  } else if (end.head.refused) {
+  if (end.complete && end.head.refused) {
     this->state->OnRefused(sent_at, now);
-  } else if (end.head.status >= 500) {
+  } else if (!end.complete || end.head.status >= kFirstServerError) {
     this->state->OnFailed(sent_at, now);
   } else {
     this->state->OnReply(sent_at, now);
--- /dev/null
+++ b/test/relay_process_test.cc
@@ -0,0 +1,174 @@
+#include <csignal>
+
+#include <boost/test/unit_test.hpp>
+
+#include "auburnyard/error.h"
+#include "platform/wire_names.h"
+#include "util/relay_standin/relay_fleet.h"
+
+namespace auburnyard {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDeadline{2'000};
+constexpr int kMaxPolls = 1'200;  // only ends a hanging test
+constexpr milliseconds kPollInterval{25};
+
+bool Eventually(const std::function<bool()>& condition) {
+  for (int i = 0; i < kMaxPolls; ++i) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+class Fleet : public util::RelayFleet {
+ public:
+  explicit Fleet(std::uint16_t base_port)
+      : RelayFleet(
+            {.program_directory = TEST_BINARY_DIR, .base_port = base_port}) {
+    for (std::size_t i = 0; i < this->hosts(); ++i) {
+      this->StartHost(i);
+    }
+    for (std::size_t i = 0; i < this->hosts(); ++i) {
+      BOOST_REQUIRE(Eventually([this, i] { return this->Ready(i); }));
+    }
+  }
+
+  std::string NextId() { return "request-" + std::to_string(++this->last_id); }
+  HttpResponse All(std::size_t host) {
+    return this->Get(host, "/all/x", this->NextId(), kDeadline);
+  }
+  bool Complete(std::size_t host) {
+    const HttpResponse answer = this->All(host);
+    return answer.status == 200 && answer.body == this->MergedRecords() &&
+           answer.Header(platform::kPartsMissing) == "0";
+  }
+
+ private:
+  int last_id = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(relay_process_test)
+
+// Guards against a fan-out over failure domains that loses parts, with real
+// processes and bundles between them.
+BOOST_AUTO_TEST_CASE(EachHostAnswersWithAllParts) {
+  Fleet fleet(25'000);
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    BOOST_TEST(Eventually([&] { return fleet.Complete(host); }));
+  }
+  BOOST_TEST(fleet.Get(0, "/none/", "n", kDeadline).status == 404);
+}
+
+// Guards against parts that stay lost with the host that fetched them, and
+// with a target.
+BOOST_AUTO_TEST_CASE(KilledHostsAndTargetsAreRoutedAround) {
+  Fleet fleet(25'100);
+  fleet.KillHost(1);
+  fleet.target(0).Crash();
+  BOOST_TEST(Eventually([&] { return fleet.Complete(0); }));
+  BOOST_TEST(Eventually([&] { return fleet.Complete(2); }));
+}
+
+// Guards against new work for a target that leaves.
+BOOST_AUTO_TEST_CASE(DrainingTargetGetsNothing) {
+  Fleet fleet(25'200);
+  BOOST_TEST(Eventually([&] { return fleet.Complete(0); }));
+  fleet.Register(0, /*draining=*/true);
+  fleet.Register(1, /*draining=*/true);
+  // A host that knows of both has nowhere to send the request.
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    BOOST_TEST(Eventually([&] {
+      return fleet.Get(host, "/one/x", fleet.NextId(), kDeadline).status == 503;
+    }));
+  }
+  const std::uint64_t before =
+      fleet.target(0).arrivals() + fleet.target(1).arrivals();
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    BOOST_TEST(fleet.All(host).Header(platform::kPartsMissing) == "1");
+  }
+  BOOST_TEST(fleet.target(0).arrivals() + fleet.target(1).arrivals() == before);
+}
+
+// Guards against routes that change back, and against a host that cannot serve
+// without the store.
+BOOST_AUTO_TEST_CASE(RoutesSurviveAnOutageOfTheStore) {
+  Fleet fleet(25'300);
+  const auto in_force = [&fleet](std::size_t host, int version) {
+    return fleet
+               .Get(host, "/v" + std::to_string(version) + "/x", fleet.NextId(),
+                    kDeadline)
+               .status == 200;
+  };
+  fleet.PutRoutes(2);
+  BOOST_TEST(Eventually([&] { return in_force(0, 2); }));
+  fleet.store().SetFault(util::StoreFault::kBusy);
+  fleet.PutRoutes(3);
+  BOOST_TEST(fleet.Complete(0));
+  BOOST_TEST(in_force(0, 2));
+  fleet.store().SetFault(util::StoreFault::kNone);
+  BOOST_TEST(Eventually([&] { return in_force(0, 3); }));
+  fleet.PutRoutes(2);
+  BOOST_TEST(Eventually([&] { return in_force(1, 3); }));
+  BOOST_TEST(in_force(0, 3));
+}
+
+// Guards against requests that are cut by a graceful shutdown.
+BOOST_AUTO_TEST_CASE(ShutdownAnswersWhatItAccepted) {
+  Fleet fleet(25'400);
+  for (std::size_t i = 0; i < fleet.target_count(); ++i) {
+    fleet.target(i).faults.delay_ms = 100;
+  }
+  std::atomic<int> unanswered{0};
+  std::atomic<bool> leaving{false};
+  std::jthread load([&] {
+    int number = 0;
+    while (!leaving) {
+      try {
+        fleet.Get(0, "/one/x", "load-" + std::to_string(++number), kDeadline);
+      } catch (const Error&) {
+        if (!leaving) {
+          ++unanswered;
+        }
+      }
+    }
+  });
+  fleet.SignalHost(0, SIGTERM);
+  BOOST_TEST(Eventually([&] { return !fleet.Ready(0); }));
+  // The balancer sends nothing more from now on.
+  leaving = true;
+  load.join();
+  BOOST_TEST(fleet.WaitForExit(0));
+  BOOST_TEST(unanswered == 0);
+}
+
+// Guards against a second execution when answers are lost or targets fail.
+BOOST_AUTO_TEST_CASE(NonIdempotentRequestsRunAtMostOnce) {
+  Fleet fleet(25'500);
+  fleet.target(0).faults.fails = true;
+  fleet.target(1).faults.sheds = true;
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = fleet.NextId();
+    const HttpResponse answer = fleet.Get(0, "/one/x", id, kDeadline);
+    const int runs = static_cast<int>(fleet.target(0).executions().count(id) +
+                                      fleet.target(1).executions().count(id));
+    BOOST_TEST(runs <= 1);
+    if (answer.status == 503) {
+      BOOST_TEST(runs == 0);
+    }
+  }
+  for (const auto& [id, count] : fleet.target(0).executions()) {
+    BOOST_TEST(count <= 1);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
--- /dev/null
+++ b/util/relay_standin/relay_fleet.cc
@@ -0,0 +1,200 @@
+#include "util/relay_standin/relay_fleet.h"
+
+#include <algorithm>
+#include <fstream>
+#include <utility>
+
+#include <unistd.h>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "auburnyard/error.h"
+#include "auburnyard/record_merger.h"
+#include "platform/wire_names.h"
+
+namespace auburnyard::util {
+
+namespace {
+
+constexpr std::size_t kDomains = 3;
+constexpr std::size_t kReplicas = 2;
+constexpr int kTimeoutMs = 2'000;
+constexpr int kObjectiveMs = 300;
+constexpr int kTopRecords = 64;
+constexpr std::chrono::seconds kReadinessTimeout{2};
+// Beyond the deadline that the entry host was given.
+constexpr std::chrono::seconds kCallGrace{4};
+
+boost::json::object RouteObject(std::string_view name, std::string_view kind) {
+  return {{"name", name},
+          {"host", "fleet.example"},
+          {"prefix", "/" + std::string(name) + "/"},
+          {"route_type", kind},
+          {"timeout_ms", kTimeoutMs},
+          {"target_latency_ms", kObjectiveMs},
+          {"priority", 1},
+          {"max_attempts", 2},
+          {"allowed_regions", boost::json::array()}};
+}
+
+}  // namespace
+
+RelayFleet::RelayFleet(Options fleet_options)
+    : options(std::move(fleet_options)),
+      directory(std::filesystem::temp_directory_path() /
+                ("auburnyard-relay-" + std::to_string(getpid()) + "-" +
+                 std::to_string(this->options.base_port))),
+      work(boost::asio::make_work_guard(this->io)),
+      store_standin(std::make_unique<StoreStandin>(this->io)),
+      processes(kDomains * this->options.hosts_per_domain) {
+  std::filesystem::create_directories(this->directory);
+  this->store_standin->Listen(this->Port(0, 3));
+  for (std::size_t i = 0; i < this->options.services * kReplicas; ++i) {
+    const std::size_t service = i / kReplicas;
+    auto target = std::make_unique<RelayTarget>(
+        this->io, "t" + std::to_string(i), "s" + std::to_string(service),
+        DomainOf(service + i % kReplicas));
+    target->Listen();
+    this->targets.push_back(std::move(target));
+    this->Register(i);
+  }
+  this->PutRoutes(1);
+  this->thread = std::jthread([this] { this->io.run(); });
+}
+
+RelayFleet::~RelayFleet() {
+  this->processes.clear();
+  this->io.stop();
+  this->thread.join();
+  std::error_code ignored;
+  std::filesystem::remove_all(this->directory, ignored);
+}
+
+std::string RelayFleet::DomainOf(std::size_t index) {
+  return "d" + std::to_string(index % kDomains);
+}
+
+std::uint16_t RelayFleet::Port(std::size_t host, std::size_t kind) const {
+  constexpr std::size_t kKinds = 4;
+  return static_cast<std::uint16_t>(this->options.base_port + host * kKinds +
+                                    kind);
+}
+
+std::string RelayFleet::Address(std::size_t host) const {
+  return "127.0.0.1:" + std::to_string(this->Port(host, 0));
+}
+
+std::string RelayFleet::WriteSettings(std::size_t host) const {
+  const auto address = [this, host](std::size_t kind) {
+    return "127.0.0.1:" + std::to_string(this->Port(host, kind));
+  };
+  boost::json::object regions;
+  for (std::size_t i = 0; i < kDomains; ++i) {
+    regions[DomainOf(i)] = "r" + std::to_string(i);
+  }
+  const boost::json::object settings = {
+      {"host", "h" + std::to_string(host)},
+      {"failure_domain", DomainOf(host)},
+      {"region", "r" + std::to_string(host % kDomains)},
+      {"domain_regions", regions},
+      {"listen",
+       {{"callers", address(0)},
+        {"readiness", address(1)},
+        {"peers", address(2)}}},
+      {"store", {{"address", this->store_standin->address()}}},
+      {"shutdown_time_s", 6},
+      {"repeats", {{"ratio", 0.2}, {"burst", 60}, {"window_s", 10}}},
+      {"cold_targets", {{"rate_factor", 1.5}, {"rate_margin", 5}}}};
+  const std::filesystem::path path =
+      this->directory / ("h" + std::to_string(host) + ".json");
+  std::ofstream(path) << boost::json::serialize(settings);
+  return path;
+}
+
+void RelayFleet::StartHost(std::size_t host) {
+  this->processes.at(host) = std::make_unique<ChildProcess>(
+      std::vector<std::string>{this->options.program_directory + "/auburnyardd",
+                               "--relay", this->WriteSettings(host)},
+      this->directory / ("h" + std::to_string(host) + ".log"));
+}
+
+void RelayFleet::SignalHost(std::size_t host, int number) const {
+  if (this->processes.at(host) != nullptr) {
+    this->processes.at(host)->Signal(number);
+  }
+}
+
+bool RelayFleet::WaitForExit(std::size_t host) {
+  const bool exited = this->processes.at(host)->WaitForExit();
+  this->processes.at(host).reset();
+  return exited;
+}
+
+bool RelayFleet::Ready(std::size_t host) const {
+  try {
+    return CallHttp("127.0.0.1:" + std::to_string(this->Port(host, 1)),
+                    {.path = "/readiness"}, kReadinessTimeout)
+               .status == 200;
+  } catch (const Error&) {
+    return false;  // not listening yet
+  }
+}
+
+void RelayFleet::PutRoutes(std::uint64_t version) {
+  boost::json::object all = RouteObject("all", "idempotent");
+  boost::json::array shards;
+  boost::json::array services;
+  for (std::size_t i = 0; i < this->options.services; ++i) {
+    const std::string name = "s" + std::to_string(i);
+    shards.emplace_back(name);
+    services.push_back({{"name", name}, {"max_connections", 100}});
+  }
+  all["gather"] = std::move(shards);
+  all["top_k"] = kTopRecords;
+  all["min_coverage"] = 0.5;
+  boost::json::object one = RouteObject("one", "non_idempotent");
+  one["service"] = "s0";
+  boost::json::object mark =
+      RouteObject("v" + std::to_string(version), "idempotent");
+  mark["service"] = "s1";
+  this->store_standin->Put(
+      "op/config",
+      boost::json::serialize(boost::json::object{
+          {"version", version},
+          {"routes",
+           boost::json::array{std::move(all), std::move(one), std::move(mark)}},
+          {"services", std::move(services)}}));
+}
+
+void RelayFleet::Register(std::size_t target, bool draining) {
+  this->store_standin->Put("servers/" + this->targets.at(target)->id(),
+                           this->targets.at(target)->Registration(draining));
+}
+
+void RelayFleet::Unregister(std::size_t target) {
+  this->store_standin->Remove("servers/" + this->targets.at(target)->id());
+}
+
+std::string RelayFleet::MergedRecords() const {
+  RecordMerger merger(kTopRecords);
+  for (std::size_t i = 0; i < this->targets.size(); i += kReplicas) {
+    merger.Add(this->targets.at(i)->Record());
+  }
+  return merger.Take();
+}
+
+HttpResponse RelayFleet::Get(std::size_t host,
+                             const std::string& path,
+                             const std::string& request_id,
+                             std::chrono::milliseconds deadline) const {
+  return CallHttp(this->Address(host),
+                  {.path = path,
+                   .headers = {{"Host", "fleet.example"},
+                               {std::string(platform::kRequestId), request_id},
+                               {std::string(platform::kDeadline),
+                                std::to_string(deadline.count())}}},
+                  deadline + kCallGrace);
+}
+
+}  // namespace auburnyard::util
--- /dev/null
+++ b/util/relay_standin/relay_fleet.h
@@ -0,0 +1,85 @@
+#ifndef AUBURNYARD_UTIL_RELAY_STANDIN_RELAY_FLEET_H_
+#define AUBURNYARD_UTIL_RELAY_STANDIN_RELAY_FLEET_H_
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "src/net/http_client.h"
+#include "util/experiment/child_process.h"
+#include "util/relay_standin/relay_target.h"
+#include "util/relay_standin/store_standin.h"
+
+namespace auburnyard::util {
+
+/// Entry hosts as separate processes on loopback, with stand-ins for the store
+/// and the targets in this process. Three failure domains in three regions;
+/// service "s<i>" has two targets in neighbouring domains. Route /all/ fans out
+/// to all of them, route /one/ goes to "s0" and is not idempotent.
+class RelayFleet {
+ public:
+  struct Options {
+    std::string program_directory;  ///< where auburnyardd is
+    std::uint16_t base_port = 24'000;
+    std::size_t hosts_per_domain = 1;
+    std::size_t services = 6;
+  };
+
+  explicit RelayFleet(Options options);
+  ~RelayFleet();
+  RelayFleet(const RelayFleet&) = delete;
+  RelayFleet& operator=(const RelayFleet&) = delete;
+
+  std::size_t hosts() const { return this->processes.size(); }
+  void StartHost(std::size_t host);
+  /// Ends the process at once, if it runs.
+  void KillHost(std::size_t host) { this->processes.at(host).reset(); }
+  /// Sends a signal to a running host.
+  void SignalHost(std::size_t host, int number) const;
+  bool WaitForExit(std::size_t host);
+  bool running(std::size_t host) const {
+    return this->processes.at(host) != nullptr;
+  }
+  std::string Address(std::size_t host) const;
+  bool Ready(std::size_t host) const;
+
+  /// Puts a configuration into the store. An extra route /v<version>/ shows
+  /// which one a host has in force.
+  void PutRoutes(std::uint64_t version);
+  void Register(std::size_t target, bool draining = false);
+  void Unregister(std::size_t target);
+  /// All records of the route /all/, merged.
+  std::string MergedRecords() const;
+
+  HttpResponse Get(std::size_t host,
+                   const std::string& path,
+                   const std::string& request_id,
+                   std::chrono::milliseconds deadline) const;
+
+  StoreStandin& store() { return *this->store_standin; }
+  RelayTarget& target(std::size_t index) { return *this->targets.at(index); }
+  std::size_t target_count() const { return this->targets.size(); }
+
+ private:
+  std::uint16_t Port(std::size_t host, std::size_t kind) const;
+  std::string WriteSettings(std::size_t host) const;
+  static std::string DomainOf(std::size_t index);
+
+  Options options;
+  std::filesystem::path directory;
+  boost::asio::io_context io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  std::unique_ptr<StoreStandin> store_standin;
+  std::vector<std::unique_ptr<RelayTarget>> targets;
+  std::vector<std::unique_ptr<ChildProcess>> processes;
+  std::jthread thread;
+};
+
+}  // namespace auburnyard::util
+
+#endif  // AUBURNYARD_UTIL_RELAY_STANDIN_RELAY_FLEET_H_
