Count attempts that wait against the bound on executions

A hedge that waits for a connection was not counted, so another one followed; and a bundle that waited was sent after its parts had been fetched directly. Ruled out: repeats of lost bundles (they need that no third target exists). Change: open attempts count as executions that may come; a bundle that is split before it was sent is withdrawn. The pause between watches grows while changes go on; leases are renewed each 3 s. Tests: AttemptsThatWaitCountAgainstTheBound, SplitBundleThatWaitsIsWithdrawn and the property with three targets failed first.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -165,6 +165,8 @@
   /// Retries a part whose attempts have all ended, or gives it up.
   void Continue(std::uint32_t index, TimePoint now);
   static bool HasOpenAttempt(const Part& part);
+  /// Executions so far and those that open attempts may still become.
+  static std::uint32_t PossibleExecutions(const Part& part);
   bool MayRepeat(const Part& part) const;
   void Settle(Part& part);
   void CheckProgress(TimePoint now);
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -88,7 +88,7 @@
 void FanOut::HedgeDue(std::uint32_t index, TimePoint now) {
   Part& part = this->parts[index];
   part.hedge_at = TimePoint::max();
-  if (part.executions >= this->request.route->max_attempts) {
+  if (PossibleExecutions(part) >= this->request.route->max_attempts) {
     return;
   }
   if (!this->StartAttempt(index, AttemptPurpose::kHedge, now)) {
@@ -157,9 +157,16 @@
                      [](const Attempt& attempt) { return attempt.open; });
 }
 
+std::uint32_t FanOut::PossibleExecutions(const Part& part) {
+  const auto waiting = std::count_if(
+      part.attempts.begin(), part.attempts.end(),
+      [](const Attempt& attempt) { return attempt.open && !attempt.sent; });
+  return part.executions + static_cast<std::uint32_t>(waiting);
+}
+
 bool FanOut::MayRepeat(const Part& part) const {
   if (part.attempts.size() >= kMostAttempts ||
-      part.executions >= this->request.route->max_attempts) {
+      PossibleExecutions(part) >= this->request.route->max_attempts) {
     return false;
   }
   return this->request.route->idempotent || part.executions == 0;
--- a/src/core/fan_out_bundles.cc
+++ b/src/core/fan_out_bundles.cc
@@ -57,6 +57,12 @@
     return;
   }
   bundle.split = true;
+  if (bundle.open && !bundle.sent) {
+    // It would reach further targets after its parts have.
+    bundle.open = false;
+    this->hooks.abandon_bundle(
+        static_cast<std::uint32_t>(&bundle - this->bundles.data()));
+  }
   for (const std::uint32_t part : bundle.parts) {
     if (!this->done && !this->parts[part].settled) {
       this->StartAttempt(part, AttemptPurpose::kRetry, now);
--- a/src/relay/store_registration.cc
+++ b/src/relay/store_registration.cc
@@ -11,8 +11,8 @@
 using std::chrono::milliseconds;
 
 // Three renewals may fail before the registration lapses.
-constexpr milliseconds kLifetime{8'000};
-constexpr milliseconds kRenewal{2'000};
+constexpr milliseconds kLifetime{12'000};
+constexpr milliseconds kRenewal{3'000};
 constexpr milliseconds kCallTimeout{1'500};
 constexpr int kStatusOk = 200;
 
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -17,8 +17,11 @@
 // Beyond the wait of a watch: a round trip and a slow answer.
 constexpr milliseconds kWatchGrace{1'000};
 constexpr milliseconds kReadTimeout{2'000};
-// Changes that come close together are fetched by one call.
-constexpr milliseconds kWatchPause{400};
+// Pause between watches, so that changes that come close together are fetched
+// by one call. It doubles while changes go on, and stays well below the time
+// within which a configuration must be in force.
+constexpr milliseconds kShortestPause{250};
+constexpr milliseconds kLongestPause{1'000};
 // Delay between attempts while the store does not answer.
 constexpr milliseconds kLongestRetry{800};
 constexpr int kStatusOk = 200;
@@ -37,7 +40,8 @@
       prefix(std::move(key_prefix)),
       hooks(std::move(watch_hooks)),
       timer(relay_context.io),
-      backoff(seed) {}
+      backoff(seed),
+      pause(kShortestPause) {}
 
 void StoreWatch::Start() {
   this->ReadPage();
@@ -183,7 +187,10 @@
     this->hooks.on_change(item);
   }
   this->revision = std::max(this->revision, page.revision);
-  this->After(kWatchPause, &StoreWatch::Watch);
+  this->pause = page.items.empty()
+                    ? kShortestPause
+                    : std::min<Duration>(this->pause * 2, kLongestPause);
+  this->After(this->pause, &StoreWatch::Watch);
 }
 
 }  // namespace auburnyard
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -62,6 +62,7 @@
   std::shared_ptr<HttpConnection> connection;
   boost::asio::steady_timer timer;
   Backoff backoff;
+  Duration pause;                   // before the next watch
   std::vector<StoreItem> snapshot;  // pages read so far
   std::uint64_t snapshot_revision = 0;
   std::uint64_t revision = 0;
--- a/test/fan_out_bundle_test.cc
+++ b/test/fan_out_bundle_test.cc
@@ -154,6 +154,15 @@
   BOOST_TEST(world.sent.size() == 4U);
 }
 
+// Guards against a bundle that is sent after its parts were fetched directly.
+BOOST_AUTO_TEST_CASE(SplitBundleThatWaitsIsWithdrawn) {
+  BundleFixture world;
+  FanOut& machine = world.Start();
+  machine.OnTimer(FanOutFixture::At(116));
+  BOOST_TEST(world.bundles_abandoned == 1);
+  BOOST_TEST(world.sent.size() >= 4U);
+}
+
 // Guards against work of an entry host for a caller that has left.
 BOOST_AUTO_TEST_CASE(CancelAbandonsBundles) {
   BundleFixture world;
--- a/test/fan_out_fixture.h
+++ b/test/fan_out_fixture.h
@@ -11,8 +11,8 @@
 
 namespace auburnyard::test {
 
-/// A FanOut with targets that reply when the test says so. Two targets serve
-/// each service: "<service>/0" and "<service>/1".
+/// A FanOut with targets that reply when the test says so. `replica_count`
+/// targets serve each service: "<service>/0", "<service>/1", ...
 class FanOutFixture {
  public:
   struct Sent {
@@ -93,7 +93,7 @@
     FanOutHooks hooks;
     hooks.choose = [this](std::string_view service,
                           std::span<const TargetPtr> tried) -> TargetPtr {
-      if (service == this->unavailable || tried.size() >= 2) {
+      if (service == this->unavailable || tried.size() >= this->replica_count) {
         return nullptr;
       }
       return this->TargetOf(std::string(service) + "/" +
--- a/test/fan_out_property_test.cc
+++ b/test/fan_out_property_test.cc
@@ -118,6 +118,7 @@
     FanOutFixture world(fans_out ? 3 : 1, fans_out);
     world.route.idempotent = fans_out || *rc::gen::arbitrary<bool>();
     world.repeats_allowed = *rc::gen::inRange(0, 4);
+    world.replica_count = 3;
     const History history = Play(world);
     RC_ASSERT(BrokenPromise(history, world.route) == std::string());
   });
--- a/test/fan_out_test.cc
+++ b/test/fan_out_test.cc
@@ -146,6 +146,20 @@
   BOOST_TEST(world.results.size() == 1U);
 }
 
+// Guards against executions beyond the bound by attempts that still wait for a
+// connection when a further hedge is due (trouble-1 of plebsearch-grown: 3 of
+// 2).
+BOOST_AUTO_TEST_CASE(AttemptsThatWaitCountAgainstTheBound) {
+  FanOutFixture world(1);
+  world.replica_count = 3;
+  FanOut& machine = world.Start();
+  world.SendAll();
+  for (int ms = 10; ms <= 200; ms += 10) {
+    machine.OnTimer(FanOutFixture::At(ms));
+  }
+  BOOST_TEST(world.sent.size() == 2U);
+}
+
 // Guards against replacing a target's own failure by another one.
 BOOST_AUTO_TEST_CASE(FailureOfTheLastTargetIsPassedOn) {
   FanOutFixture world(1, /*fans_out=*/false);
