Soak relaying hosts under random faults

Cause: nothing of ours played faults in series and overlapping against the relaying hosts as separate processes. Change: relay-soak kills, pauses, terminates and reloads hosts, disturbs the store and the ways to it and to the targets, and checks answers, executions and recovery from what callers and targets see. Found while writing it: a target whose registration was removed and written anew while removals were held back stayed draining; RegistrationAfterARemovalIsTaken.

--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -48,7 +48,7 @@
 }
 
 void TargetTable::Upsert(const TargetEntry& entry) {
-  this->removals.erase(entry.id);
+  const bool returned = this->removals.erase(entry.id) > 0;
   const auto found = this->pools.find(entry.id);
   if (found == this->pools.end()) {
     this->Add(entry);
@@ -57,8 +57,8 @@
   TargetState& state = *found->second->target();
   const TargetEntry known = state.entry();
   // A report from before the known one can arrive late.
-  if (std::pair(entry.started_at_ms, entry.sequence) <
-      std::pair(known.started_at_ms, known.sequence)) {
+  if (!returned && std::pair(entry.started_at_ms, entry.sequence) <
+                       std::pair(known.started_at_ms, known.sequence)) {
     LogEvent(spdlog::level::info, "target_report_outdated",
              {{"target", entry.id}, {"sequence", entry.sequence}});
     return;
--- a/test/target_table_test.cc
+++ b/test/target_table_test.cc
@@ -116,6 +116,20 @@
   BOOST_TEST(world.Chosen() == "near");
 }
 
+// Guards against a target that stays out because its registration was removed
+// and written anew while removals were held back.
+BOOST_AUTO_TEST_CASE(RegistrationAfterARemovalIsTaken) {
+  TableFixture world;
+  TargetEntry leaving = TableFixture::Entry("near", "d1");
+  leaving.sequence = 5;
+  leaving.draining = true;
+  world.table.Upsert(leaving);
+  world.table.OnStoreRegained();
+  world.table.Remove("near");
+  world.table.Upsert(TableFixture::Entry("near", "d1"));
+  BOOST_TEST(world.Chosen() == "near");
+}
+
 // Guards against more requests to a cold target, from all hosts together, than
 // it bears.
 BOOST_AUTO_TEST_CASE(ColdTargetsGetNoMoreThanTheirRate) {
--- /dev/null
+++ b/util/relay_soak/answer_check.cc
@@ -0,0 +1,59 @@
+#include "util/relay_soak/answer_check.h"
+
+#include <set>
+
+#include "auburnyard/record_merger.h"
+#include "platform/relay_dialect.h"
+#include "platform/wire_names.h"
+
+namespace auburnyard::util {
+
+namespace {
+
+constexpr unsigned kStatusOk = 200;
+constexpr std::size_t kTopRecords = 64;
+
+}  // namespace
+
+std::string CheckSingleAnswer(RelayFleet& fleet, const BeastResponse& answer) {
+  if (answer.result_int() == kStatusOk &&
+      answer.body() != fleet.target(0).Record()) {
+    return "the body is not the target's";
+  }
+  return "";
+}
+
+std::string CheckMergedAnswer(RelayFleet& fleet,
+                              const BeastResponse& answer,
+                              std::string_view request_id) {
+  if (answer.result_int() != kStatusOk) {
+    return "";
+  }
+  static const RelayWire kWire = platform::MakeRelayWire();
+  std::set<std::string> services;
+  RecordMerger merger(kTopRecords);
+  for (const std::string& signature :
+       kWire.decode_reply(answer).part_signatures) {
+    const std::size_t dot = signature.find('.');
+    if (dot == std::string::npos || signature.substr(dot + 1) != request_id) {
+      return "a part of another request";
+    }
+    const std::size_t index = std::stoul(signature.substr(1, dot - 1));
+    RelayTarget& target = fleet.target(index);
+    if (!services.insert(target.service()).second) {
+      return "a part twice";
+    }
+    merger.Add(target.Record());
+  }
+  const std::string missing(answer[platform::kPartsMissing]);
+  if (services.size() + std::stoul(missing) != fleet.target_count() / 2) {
+    return "the parts and the missing ones do not make up the whole";
+  }
+  if (services.size() * 2 < fleet.target_count() / 2) {
+    return "coverage below the minimum";
+  }
+  return merger.Take() == answer.body() ? ""
+                                        : "records that are not the parts'";
+}
+
+}  // namespace auburnyard::util
--- /dev/null
+++ b/util/relay_soak/soak.cc
@@ -0,0 +1,304 @@
+#include "util/relay_soak/soak.h"
+
+#include <algorithm>
+#include <csignal>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "auburnyard/record_merger.h"
+#include "platform/relay_dialect.h"
+#include "platform/wire_names.h"
+#include "util/relay_soak/answer_check.h"
+
+namespace auburnyard::util {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kCallers = 4;
+constexpr milliseconds kShortestGap{50};
+constexpr int kLongestGapMs = 500;
+// Hosts must serve with the newest configuration this long after all faults
+// have ended.
+constexpr std::chrono::seconds kRecovery{12};
+constexpr milliseconds kPoll{100};
+constexpr milliseconds kDisturbedDelay{120};
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+
+}  // namespace
+
+Soak::Soak(SoakOptions soak_options)
+    : options(std::move(soak_options)),
+      random(this->options.seed),
+      fleet({.program_directory = this->options.program_directory,
+             .base_port = this->options.base_port,
+             .hosts_per_domain = this->options.hosts_per_domain}) {}
+
+std::size_t Soak::Pick(std::size_t count) {
+  return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->random);
+}
+
+void Soak::Violate(std::string text) {
+  const std::lock_guard lock(this->mutex);
+  this->violations.push_back(std::move(text));
+}
+
+std::vector<std::string> Soak::Run() {
+  for (std::size_t i = 0; i < this->fleet.hosts(); ++i) {
+    this->fleet.StartHost(i);
+  }
+  {
+    std::vector<std::jthread> callers;
+    for (std::size_t i = 0; i < kCallers; ++i) {
+      callers.emplace_back([this, i] { this->Call(i); });
+    }
+    this->InjectFaults();
+    this->Heal();
+    this->CheckRecovery();
+    this->stopping = true;
+  }
+  this->CheckExecutions();
+  return this->violations;
+}
+
+void Soak::InjectFaults() {
+  const auto end = std::chrono::steady_clock::now() + this->options.duration;
+  while (std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kShortestGap +
+                                milliseconds(this->Pick(kLongestGapMs)));
+    this->InjectOne();
+  }
+}
+
+void Soak::InjectOne() {
+  switch (this->Pick(4)) {
+    case 0:
+      this->DisturbHost();
+      break;
+    case 1:
+      this->DisturbStore();
+      break;
+    case 2:
+      this->DisturbTarget();
+      break;
+    default:
+      this->ChangeConfiguration();
+  }
+}
+
+void Soak::DisturbHost() {
+  const std::size_t host = this->Pick(this->fleet.hosts());
+  if (!this->fleet.running(host)) {
+    ++this->fault_counts["host started"];
+    this->fleet.StartHost(host);
+    return;
+  }
+  switch (this->Pick(5)) {
+    case 0:
+      ++this->fault_counts["host killed"];
+      this->fleet.KillHost(host);
+      break;
+    case 1:
+      ++this->fault_counts["host paused"];
+      this->fleet.SignalHost(host, SIGSTOP);
+      this->stopped.push_back(host);
+      break;
+    case 2:
+      ++this->fault_counts["host resumed"];
+      for (const std::size_t paused : this->stopped) {
+        this->fleet.SignalHost(paused, SIGCONT);
+      }
+      this->stopped.clear();
+      break;
+    case 3:
+      ++this->fault_counts["host terminated"];
+      this->fleet.SignalHost(host, SIGCONT);
+      this->fleet.SignalHost(host, SIGTERM);
+      this->fleet.WaitForExit(host);
+      break;
+    default:
+      ++this->fault_counts["settings reloaded"];
+      this->fleet.SignalHost(host, SIGHUP);
+  }
+}
+
+void Soak::DisturbStore() {
+  constexpr std::array<std::pair<StoreFault, const char*>, 5> kFaults = {{
+      {StoreFault::kNone, "store healed"},
+      {StoreFault::kNone, "store healed"},
+      {StoreFault::kSilent, "store silent"},
+      {StoreFault::kBusy, "store busy"},
+      {StoreFault::kLostAnswers, "store loses answers"},
+  }};
+  constexpr std::array<std::pair<RouteState, const char*>, 3> kRoutes = {{
+      {RouteState::kPass, "way to the store healed"},
+      {RouteState::kCut, "way to the store reset"},
+      {RouteState::kDrop, "way to the store silent"},
+  }};
+  switch (this->Pick(4)) {
+    case 0: {
+      const auto& [fault, name] = kFaults.at(this->Pick(kFaults.size()));
+      ++this->fault_counts[name];
+      this->fleet.store().SetFault(fault);
+      break;
+    }
+    case 1: {
+      const auto& [state, name] = kRoutes.at(this->Pick(kRoutes.size()));
+      ++this->fault_counts[name];
+      this->fleet.SetStoreRoute(this->Pick(RelayFleet::kDomains), state);
+      break;
+    }
+    case 2:
+      ++this->fault_counts["history forgotten"];
+      this->fleet.store().ForgetHistory();
+      break;
+    default:
+      ++this->fault_counts["leases ended"];
+      this->fleet.store().EndAllLeases();
+  }
+}
+
+void Soak::DisturbTarget() {
+  const std::size_t index = this->Pick(this->fleet.target_count());
+  RelayTarget& target = this->fleet.target(index);
+  switch (this->Pick(7)) {
+    case 0:
+      ++this->fault_counts["target sheds"];
+      target.faults.sheds = !target.faults.sheds;
+      break;
+    case 1:
+      ++this->fault_counts["target fails"];
+      target.faults.fails = !target.faults.fails;
+      break;
+    case 2:
+      ++this->fault_counts["target slow"];
+      target.faults.delay_ms = static_cast<int>(this->Pick(400));
+      break;
+    case 3:
+      ++this->fault_counts["target drains"];
+      this->fleet.Register(index, /*draining=*/true);
+      break;
+    case 4:
+      ++this->fault_counts["target unregistered"];
+      this->fleet.Unregister(index);
+      break;
+    case 5:
+      ++this->fault_counts["way to a target reset"];
+      this->fleet.SetTargetRoute(index, RouteState::kCut, kDisturbedDelay);
+      break;
+    default:
+      ++this->fault_counts["way to a target silent"];
+      this->fleet.SetTargetRoute(index, RouteState::kDrop, kDisturbedDelay);
+  }
+}
+
+void Soak::ChangeConfiguration() {
+  ++this->fault_counts["configuration changed"];
+  this->fleet.PutRoutes(++this->version);
+}
+
+void Soak::Heal() {
+  this->fleet.store().SetFault(StoreFault::kNone);
+  for (std::size_t i = 0; i < RelayFleet::kDomains; ++i) {
+    this->fleet.SetStoreRoute(i, RouteState::kPass);
+  }
+  for (std::size_t i = 0; i < this->fleet.target_count(); ++i) {
+    RelayTarget& target = this->fleet.target(i);
+    target.faults.sheds = false;
+    target.faults.fails = false;
+    target.faults.delay_ms = 0;
+    this->fleet.SetTargetRoute(i, RouteState::kPass, {});
+    // A new start of the target: reports of the old one are older.
+    this->fleet.Unregister(i);
+    this->fleet.Register(i);
+  }
+  for (std::size_t i = 0; i < this->fleet.hosts(); ++i) {
+    if (this->fleet.running(i)) {
+      this->fleet.SignalHost(i, SIGCONT);
+    } else {
+      this->fleet.StartHost(i);
+    }
+  }
+  this->fleet.PutRoutes(++this->version);
+}
+
+void Soak::CheckRecovery() {
+  const auto end = std::chrono::steady_clock::now() + kRecovery;
+  SoakCaller caller;
+  for (std::size_t host = 0; host < this->fleet.hosts(); ++host) {
+    bool recovered = false;
+    int number = 0;
+    while (!recovered && std::chrono::steady_clock::now() < end) {
+      const std::string suffix =
+          std::to_string(host) + "-" + std::to_string(++number);
+      const auto mark = caller.Get(this->fleet.Address(host),
+                                   "/v" + std::to_string(this->version) + "/x",
+                                   "mark-" + suffix);
+      const auto all = caller.Get(this->fleet.Address(host), "/all/x",
+                                  "recovered-" + suffix);
+      recovered = mark && mark->result_int() == kStatusOk && all &&
+                  all->result_int() == kStatusOk &&
+                  all->body() == this->fleet.MergedRecords();
+      if (!recovered) {
+        std::this_thread::sleep_for(kPoll);
+      }
+    }
+    if (!recovered) {
+      this->Violate("host " + std::to_string(host) +
+                    " does not serve with the newest configuration");
+    }
+  }
+}
+
+void Soak::Call(std::size_t caller) {
+  std::mt19937_64 choices(this->options.seed * kCallers + caller);
+  SoakCaller connection;
+  for (std::uint64_t number = 0; !this->stopping; ++number) {
+    const std::size_t host = choices() % this->fleet.hosts();
+    const std::string id =
+        "c" + std::to_string(caller) + "-" + std::to_string(number);
+    const bool single = choices() % 4 == 0;
+    ++this->request_count;
+    const auto answer = connection.Get(this->fleet.Address(host),
+                                       single ? "/one/x" : "/all/x", id);
+    if (!answer) {
+      continue;
+    }
+    const std::string wrong = single
+                                  ? CheckSingleAnswer(this->fleet, *answer)
+                                  : CheckMergedAnswer(this->fleet, *answer, id);
+    if (!wrong.empty()) {
+      this->Violate(id + ": " + wrong);
+    }
+    if (single) {
+      const std::lock_guard lock(this->mutex);
+      this->statuses[id] = static_cast<int>(answer->result_int());
+    }
+  }
+}
+
+void Soak::CheckExecutions() {
+  std::map<std::string, int> runs;
+  for (std::size_t i = 0; i < 2; ++i) {
+    for (const auto& [id, count] : this->fleet.target(i).executions()) {
+      runs[id] += count;
+    }
+  }
+  const std::lock_guard lock(this->mutex);
+  for (const auto& [id, status] : this->statuses) {
+    const auto found = runs.find(id);
+    const int count = found == runs.end() ? 0 : found->second;
+    if (count > 1) {
+      this->violations.push_back(id + " ran " + std::to_string(count) +
+                                 " times");
+    }
+    if (status == kStatusUnavailable && count > 0) {
+      this->violations.push_back(id + " was refused as not run, and ran");
+    }
+  }
+}
+
+}  // namespace auburnyard::util
--- /dev/null
+++ b/util/relay_soak/soak_caller.h
@@ -0,0 +1,33 @@
+#ifndef AUBURNYARD_UTIL_RELAY_SOAK_SOAK_CALLER_H_
+#define AUBURNYARD_UTIL_RELAY_SOAK_SOAK_CALLER_H_
+
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "src/net/http_message.h"
+
+namespace auburnyard::util {
+
+/// A caller that keeps its connection until the host closes it.
+class SoakCaller {
+ public:
+  /// Empty if the connection broke or nothing came in time.
+  std::optional<BeastResponse> Get(const std::string& address,
+                                   const std::string& path,
+                                   const std::string& request_id);
+
+ private:
+  bool Connect(const std::string& address);
+
+  boost::asio::io_context io;
+  std::optional<boost::beast::tcp_stream> stream;
+  std::string connected_to;
+};
+
+}  // namespace auburnyard::util
+
+#endif  // AUBURNYARD_UTIL_RELAY_SOAK_SOAK_CALLER_H_
--- a/util/relay_standin/relay_fleet.cc
+++ b/util/relay_standin/relay_fleet.cc
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::size_t kDomains = 3;
 constexpr std::size_t kReplicas = 2;
 constexpr int kTimeoutMs = 2'000;
 constexpr int kObjectiveMs = 300;
@@ -49,13 +48,18 @@
       store_standin(std::make_unique<StoreStandin>(this->io)),
       processes(kDomains * this->options.hosts_per_domain) {
   std::filesystem::create_directories(this->directory);
-  this->store_standin->Listen(this->Port(0, 3));
+  this->store_standin->Listen();
+  for (std::size_t i = 0; i < kDomains; ++i) {
+    this->store_routes.push_back(this->Forward(this->store_standin->address()));
+  }
   for (std::size_t i = 0; i < this->options.services * kReplicas; ++i) {
     const std::size_t service = i / kReplicas;
     auto target = std::make_unique<RelayTarget>(
         this->io, "t" + std::to_string(i), "s" + std::to_string(service),
         DomainOf(service + i % kReplicas));
     target->Listen();
+    this->target_routes.push_back(this->Forward(target->address()));
+    target->Advertise(this->target_routes.back()->port());
     this->targets.push_back(std::move(target));
     this->Register(i);
   }
@@ -71,12 +75,32 @@
   std::filesystem::remove_all(this->directory, ignored);
 }
 
+std::shared_ptr<Route> RelayFleet::Forward(const std::string& server) {
+  RouteOptions route;
+  route.listen = "127.0.0.1:0";
+  route.server = server;
+  auto forwarder = std::make_shared<Route>(this->io, route);
+  forwarder->Listen();
+  return forwarder;
+}
+
+void RelayFleet::SetStoreRoute(std::size_t domain, RouteState state) {
+  this->store_routes.at(domain)->SetState(state);
+}
+
+void RelayFleet::SetTargetRoute(std::size_t target,
+                                RouteState state,
+                                Duration delay) {
+  this->target_routes.at(target)->SetDelays({delay, delay});
+  this->target_routes.at(target)->SetState(state);
+}
+
 std::string RelayFleet::DomainOf(std::size_t index) {
   return "d" + std::to_string(index % kDomains);
 }
 
 std::uint16_t RelayFleet::Port(std::size_t host, std::size_t kind) const {
-  constexpr std::size_t kKinds = 4;
+  constexpr std::size_t kKinds = 3;
   return static_cast<std::uint16_t>(this->options.base_port + host * kKinds +
                                     kind);
 }
@@ -102,7 +126,10 @@
        {{"callers", address(0)},
         {"readiness", address(1)},
         {"peers", address(2)}}},
-      {"store", {{"address", this->store_standin->address()}}},
+      {"store",
+       {{"address",
+         "127.0.0.1:" +
+             std::to_string(this->store_routes.at(host % kDomains)->port())}}},
       {"shutdown_time_s", 6},
       {"repeats", {{"ratio", 0.2}, {"burst", 60}, {"window_s", 10}}},
       {"cold_targets", {{"rate_factor", 1.5}, {"rate_margin", 5}}}};
--- a/util/relay_standin/relay_fleet.h
+++ b/util/relay_standin/relay_fleet.h
@@ -14,6 +14,7 @@
 #include "util/experiment/child_process.h"
 #include "util/relay_standin/relay_target.h"
 #include "util/relay_standin/store_standin.h"
+#include "util/tcp_forwarder/route.h"
 
 namespace auburnyard::util {
 
@@ -61,11 +62,19 @@
                    const std::string& request_id,
                    std::chrono::milliseconds deadline) const;
 
+  /// Disturbs the connections between the hosts of a domain and the store, or
+  /// those to a target.
+  void SetStoreRoute(std::size_t domain, RouteState state);
+  void SetTargetRoute(std::size_t target, RouteState state, Duration delay);
+
+  static constexpr std::size_t kDomains = 3;
+
   StoreStandin& store() { return *this->store_standin; }
   RelayTarget& target(std::size_t index) { return *this->targets.at(index); }
   std::size_t target_count() const { return this->targets.size(); }
 
  private:
+  std::shared_ptr<Route> Forward(const std::string& server);
   std::uint16_t Port(std::size_t host, std::size_t kind) const;
   std::string WriteSettings(std::size_t host) const;
   static std::string DomainOf(std::size_t index);
@@ -76,6 +85,8 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   std::unique_ptr<StoreStandin> store_standin;
   std::vector<std::unique_ptr<RelayTarget>> targets;
+  std::vector<std::shared_ptr<Route>> store_routes;   // by domain
+  std::vector<std::shared_ptr<Route>> target_routes;  // by target
   std::vector<std::unique_ptr<ChildProcess>> processes;
   std::jthread thread;
 };
--- a/util/relay_standin/relay_target.cc
+++ b/util/relay_standin/relay_target.cc
@@ -37,6 +37,11 @@
 
 void RelayTarget::Listen(std::uint16_t port) {
   this->server->Listen("127.0.0.1", port);
+  this->advertised_port = this->server->port();
+}
+
+std::string RelayTarget::address() const {
+  return "127.0.0.1:" + std::to_string(this->server->port());
 }
 
 void RelayTarget::Crash() {
@@ -44,16 +49,16 @@
   this->server->AbortConnections();
 }
 
-std::string RelayTarget::Registration(bool draining) const {
+std::string RelayTarget::Registration(bool draining) {
   return boost::json::serialize(boost::json::object{
       {"service", this->service_name},
-      {"address", "127.0.0.1:" + std::to_string(this->server->port())},
+      {"address", "127.0.0.1:" + std::to_string(this->advertised_port)},
       {"zone", this->domain},
       {"version", "v1"},
       {"slots", kSlots},
       {"state", draining ? "draining" : "ready"},
       {"warmup_left_ms", 0},
-      {"seq_num", draining ? 2 : 1}});
+      {"seq_num", ++this->reports}});
 }
 
 std::string RelayTarget::Record() const {
--- a/util/relay_standin/relay_target.h
+++ b/util/relay_standin/relay_target.h
@@ -33,10 +33,13 @@
   RelayTarget& operator=(const RelayTarget&) = delete;
 
   void Listen(std::uint16_t port = 0);
+  std::string address() const;
+  /// Registers with another port, of a forwarder to it.
+  void Advertise(std::uint16_t port) { this->advertised_port = port; }
   /// Resets all connections and accepts no more.
   void Crash();
   /// What it writes into the store.
-  std::string Registration(bool draining = false) const;
+  std::string Registration(bool draining = false);
 
   const std::string& id() const { return this->name; }
   const std::string& service() const { return this->service_name; }
@@ -56,6 +59,8 @@
   std::string service_name;
   std::string domain;
   std::shared_ptr<HttpServer> server;
+  std::uint16_t advertised_port = 0;
+  std::uint64_t reports = 0;
   mutable std::mutex mutex;
   std::map<std::string, int> executed;
   std::atomic<std::uint64_t> arrival_count{0};
