--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -22,6 +22,8 @@
 // from returning together.
 constexpr int kShortestRetryMs = 150;
 constexpr int kLongestRetryMs = 450;
+// A host without a configuration waits for the store, which takes longer.
+constexpr int kUnconfiguredRetryFactor = 3;
 constexpr std::uint32_t kOutcomeLinesPerSecond = 20;
 constexpr std::uint64_t kRandomSeed = 20261204;
 
@@ -247,7 +249,9 @@
               {"omitted", omitted}});
   }
   const milliseconds retry_after =
-      status == kStatusUnavailable ? this->RetryAfter() : milliseconds(0);
+      status == kStatusUnavailable
+          ? this->RetryAfter() * kUnconfiguredRetryFactor
+          : milliseconds(0);
   respond(MakeRefusal(status, title, kind, RunState::kNotRun, retry_after));
 }
 
