Let bundles wait for parts without which the whole cannot be answered

Change: the asking host says how many parts may be left out; beyond that the other host goes on until its deadline. A bundle refused with 503 has reached no target, so that its parts start without the budget. Tests: PartsOfARefusedBundleAreNoRepeats failed first; BundleHeadersAreReadBack.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -112,6 +112,8 @@
   void Cancel();
   /// When OnTimer is due.
   TimePoint NextTimer() const;
+  /// Parts that an answer may leave out.
+  std::size_t AllowedMissing() const;
   bool finished() const { return this->done; }
   const FanOutPlan& plan() const { return this->request; }
   std::uint32_t repeats() const { return this->repeat_count; }
@@ -170,7 +172,6 @@
   bool MayRepeat(const Part& part) const;
   void Settle(Part& part);
   void CheckProgress(TimePoint now);
-  std::size_t AllowedMissing() const;
   void FinishMerged();
   void FinishReply(RelayReply reply);
   void FinishRefusal(ErrorKind error);
--- a/src/core/fan_out_bundles.cc
+++ b/src/core/fan_out_bundles.cc
@@ -12,6 +12,8 @@
 // An entry host answers with what it has when asked to, so its reply is later
 // than this only if the host or the way to it is in trouble.
 constexpr milliseconds kBundleGrace{15};
+// Entry hosts promise with this status that no target ran the request.
+constexpr int kStatusNotRun = 503;
 
 }  // namespace
 
@@ -78,8 +80,10 @@
   const bool usable =
       reply.success() && answered > 0 && answered <= bundle.parts.size();
   if (!usable) {
-    // Entry hosts answer like this only if they have no part at all.
-    this->OnBundleFailure(index, PartFailure::kLost, now);
+    this->OnBundleFailure(index,
+                          reply.status == kStatusNotRun ? PartFailure::kRefused
+                                                        : PartFailure::kLost,
+                          now);
     return;
   }
   bundle.open = false;
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -129,9 +129,13 @@
       std::min(job->deadline, now + std::max(objective, milliseconds(1)));
   if (from_peer && !request.shards.empty()) {
     job->partial_route = route;
+    const auto count = static_cast<double>(request.shards.size());
+    const auto lacking = static_cast<double>(
+        std::min(request.may_lack, request.shards.size() - 1));
+    // With more parts missing the whole would not suffice either, so that
+    // waiting for them costs the asking host nothing.
+    job->partial_route->min_coverage = (count - lacking) / count;
     job->partial_route->shards = std::move(request.shards);
-    // The asking host judges the coverage of the whole.
-    job->partial_route->min_coverage = 0;
     job->route = &*job->partial_route;
   }
   job->request = std::move(request);
--- a/src/relay/relay_wire.h
+++ b/src/relay/relay_wire.h
@@ -25,6 +25,8 @@
   std::optional<std::chrono::milliseconds> answer_within;
   /// Shards that another entry host asks for; empty: all of the route.
   std::vector<std::string> shards;
+  /// Parts that the answer to another entry host may leave out.
+  std::size_t may_lack = 0;
   /// Request line and the headers that are passed on, without the last line.
   std::string forwarded_head;
   std::string body;
@@ -64,8 +66,10 @@
   /// Header that tells another entry host when its answer is needed.
   std::function<std::string(std::chrono::milliseconds within)>
       encode_answer_within;
-  /// Header that asks another entry host for some shards of the route.
-  std::function<std::string(std::span<const std::string_view> shards)>
+  /// Headers that ask another entry host for some shards of the route, of which
+  /// its answer may leave out `may_lack`.
+  std::function<std::string(std::span<const std::string_view> shards,
+                            std::size_t may_lack)>
       encode_bundle;
   /// Status line and headers of a merged answer.
   std::function<std::string(const FanOutResult& result)> encode_merged;
--- a/test/fan_out_bundle_test.cc
+++ b/test/fan_out_bundle_test.cc
@@ -81,6 +81,20 @@
   BOOST_TEST(world.repeats_taken == 3);
 }
 
+// Guards against spending the budget on parts that an entry host refused
+// before any target saw them, for example because it knows no target yet.
+BOOST_AUTO_TEST_CASE(PartsOfARefusedBundleAreNoRepeats) {
+  BundleFixture world;
+  world.replica_count = 3;
+  world.Start();
+  world.machine->OnBundleSent(0);
+  RelayReply refusal;
+  refusal.status = 503;
+  world.machine->OnBundleReply(0, std::move(refusal), FanOutFixture::At(5));
+  BOOST_TEST(world.sent.size() == 4U);
+  BOOST_TEST(world.repeats_taken == 0);
+}
+
 // Guards against executions at more targets than the route allows: the lost
 // host may have used two, and a third one exists.
 BOOST_AUTO_TEST_CASE(LostBundleIsNotRepeatedIfMoreTargetsExist) {
--- a/test/platform_dialect_test.cc
+++ b/test/platform_dialect_test.cc
@@ -138,16 +138,20 @@
 BOOST_AUTO_TEST_CASE(BundleHeadersAreReadBack) {
   const RelayWire wire = platform::MakeRelayWire();
   const std::vector<std::string_view> shards = {"a", "b", "c"};
-  BeastRequest request = Request("/");
-  const std::string line = wire.encode_bundle(shards);
-  const std::size_t colon = line.find(": ");
-  request.set(line.substr(0, colon),
-              line.substr(colon + 2, line.size() - colon - 4));
+  const std::string text =
+      "GET / HTTP/1.1\r\nHost: h\r\n" + wire.encode_bundle(shards, 4) + "\r\n";
+  boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+  boost::beast::error_code error;
+  parser.put(boost::asio::buffer(text), error);
+  BOOST_REQUIRE(!error);
+  BeastRequest request = parser.release();
   request.set("Auburnyard-Answer-Within-Ms", "90");
   const CallerRequest decoded = wire.decode_request(std::move(request));
   BOOST_TEST(decoded.shards == (std::vector<std::string>{"a", "b", "c"}),
              boost::test_tools::per_element());
+  BOOST_TEST(decoded.may_lack == 4U);
   BOOST_TEST(decoded.answer_within->count() == 90);
+  BOOST_TEST(decoded.forwarded_head == "GET / HTTP/1.1\r\nHost: h\r\n");
 }
 
 // Guards against signatures of a merged answer that get lost between lines.
