Read the store cheaply at the start; find silent connections by probes

Ruled out: stale polling in place of watches (stale reads may be older than the bound of a configuration). Change: the first read is a stale one and the watch starts at its revision; after lost history the read is a current one. Keep-alive probes find a silent connection within 3 s, so that a watch may wait for 5 s.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/http/read.hpp>
@@ -68,14 +71,32 @@
                            return;
                          }
                          self->connected = true;
-                         boost::beast::error_code ignored;
-                         self->stream.socket().set_option(
-                             asio::ip::tcp::no_delay(true), ignored);
+                         self->SetSocketOptions();
                          self->Write();
                        });
                  });
 }
 
+// An option that cannot be set leaves the time-out of the exchange in its
+// place.
+void HttpConnection::SetSocketOptions() {
+  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  constexpr int kLostProbes = 2;
+  boost::beast::error_code ignored;
+  asio::ip::tcp::socket& socket = this->stream.socket();
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  const auto interval = static_cast<int>(this->probe_interval.count());
+  if (interval > 0) {
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(Idle(interval), ignored);
+    socket.set_option(Interval(interval), ignored);
+    socket.set_option(Count(kLostProbes), ignored);
+  }
+}
+
 void HttpConnection::Write() {
   http::async_write(this->stream, this->request,
                     [self = this->shared_from_this()](
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -47,6 +47,11 @@
                  const std::string& host,
                  std::uint16_t port);
 
+  /// Sends keep-alive probes on an idle connection, so that one that went
+  /// silent ends after about three intervals. Applies to the next connect.
+  void EnableProbes(std::chrono::seconds interval) {
+    this->probe_interval = interval;
+  }
   /// Connects if necessary, sends the call and reads the response. Any failure
   /// closes the connection.
   void Exchange(const HttpCall& call, Duration timeout, Callback callback);
@@ -54,6 +59,7 @@
   void Close();
 
  private:
+  void SetSocketOptions();
   void Write();
   void ReadResponse();
   void Finish(ExchangeStage stage, boost::beast::error_code error);
@@ -68,6 +74,7 @@
       parser;
   Callback callback;
   bool connected = false;
+  std::chrono::seconds probe_interval{0};  // 0: no probes
 };
 
 }  // namespace auburnyard
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -11,11 +11,12 @@
 
 using std::chrono::milliseconds;
 
-// A connection to the store can go silent without a reset. A short wait bounds
-// how long that goes unnoticed.
-constexpr milliseconds kWatchWait{3'500};
+// Bounds how long it goes unnoticed that the store no longer answers. A
+// connection that goes silent is found sooner, by its keep-alive probes.
+constexpr milliseconds kWatchWait{5'000};
 // Beyond the wait of a watch: a round trip and a slow answer.
 constexpr milliseconds kWatchGrace{1'000};
+constexpr std::chrono::seconds kProbeInterval{1};
 constexpr milliseconds kReadTimeout{2'000};
 // Pause between watches, so that changes that come close together are fetched
 // by one call. It doubles while changes go on, and stays well below the time
@@ -62,6 +63,7 @@
   if (this->connection == nullptr) {
     this->connection = std::make_shared<HttpConnection>(
         this->context.io, this->store.host, this->store.port);
+    this->connection->EnableProbes(kProbeInterval);
   }
   this->connection->Exchange(
       call, timeout,
@@ -113,8 +115,8 @@
 void StoreWatch::ReadPage() {
   const std::string after =
       this->snapshot.empty() ? std::string() : this->snapshot.back().key;
-  this->Call(this->wire.encode_range(this->prefix, after), kReadTimeout,
-             "range", &StoreWatch::OnPage);
+  this->Call(this->wire.encode_range(this->prefix, after, this->cheap_read),
+             kReadTimeout, "range", &StoreWatch::OnPage);
 }
 
 void StoreWatch::OnPage(const ExchangeResult& result) {
@@ -132,10 +134,10 @@
     return;
   }
   this->OnAnswer();
-  // Pages are no snapshot: changes between them are read again by the watch.
-  if (this->snapshot.empty()) {
-    this->snapshot_revision = page.revision;
-  }
+  // Pages are no snapshot: the watch reads again what changed since the oldest.
+  this->snapshot_revision =
+      this->snapshot.empty() ? page.revision
+                             : std::min(this->snapshot_revision, page.revision);
   const bool more = page.more && !page.items.empty();
   std::move(page.items.begin(), page.items.end(),
             std::back_inserter(this->snapshot));
@@ -145,6 +147,7 @@
   }
   this->revision = this->snapshot_revision;
   this->has_snapshot = true;
+  this->cheap_read = true;
   const std::vector<StoreItem> all = std::move(this->snapshot);
   this->snapshot.clear();
   LogEvent(spdlog::level::info, "store_read",
@@ -166,6 +169,7 @@
     LogEvent(spdlog::level::info, "store_history_lost",
              {{"prefix", this->prefix}, {"revision", this->revision}});
     this->has_snapshot = false;
+    this->cheap_read = false;
     this->ReadPage();
     return;
   }
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -67,6 +67,7 @@
   std::uint64_t snapshot_revision = 0;
   std::uint64_t revision = 0;
   bool has_snapshot = false;
+  bool cheap_read = true;  // the history still reaches back far enough
   bool lost = false;
   bool stopped = false;
   TimePoint contact_at{};
--- a/src/relay/store_wire.h
+++ b/src/relay/store_wire.h
@@ -29,8 +29,10 @@
 /// Calls to the store and their responses. Supplied by the adapter of the
 /// deployment. The decoders throw Error(kProtocol).
 struct StoreWire {
-  /// Keys with the prefix, after the key `after` if that is not empty.
-  std::function<HttpCall(std::string_view prefix, std::string_view after)>
+  /// Keys with the prefix, after the key `after` if that is not empty. A cheap
+  /// read may be seconds old; its revision says so.
+  std::function<
+      HttpCall(std::string_view prefix, std::string_view after, bool cheap)>
       encode_range;
   /// Waits for changes after the revision.
   std::function<HttpCall(std::string_view prefix,
