Let the same two hosts of a domain fetch bundles for all others

Change: hosts are ranked by the domain alone, so that all choose the same two. Tests: peer_table_test; AllHostsChooseTheSameFewFetchers failed before.

--- a/src/relay/peer_table.cc
+++ b/src/relay/peer_table.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Peers of one domain that this host uses, so that few connections stay in use.
-constexpr std::size_t kPeersPerDomain = 4;
+// Hosts of a domain that fetch bundles for hosts of other domains.
+constexpr std::size_t kFetchersPerDomain = 2;
 constexpr std::size_t kConnectionsPerPeer = 16;
 // A new connection costs a round trip between regions, so that some are open
 // ahead of need.
@@ -51,13 +51,15 @@
   return state;
 }
 
+// All hosts choose the same ones: a host that fetches for many others sees
+// enough of each target to know which ones are slow or in a pause.
 std::vector<TargetPtr> PeerTable::Candidates(std::string_view domain) {
   std::vector<HostEntry> entries = this->hosts.InDomain(domain);
   std::sort(entries.begin(), entries.end(),
-            [this](const HostEntry& left, const HostEntry& right) {
-              return RanksBefore(this->own_name, left.name, right.name);
+            [domain](const HostEntry& left, const HostEntry& right) {
+              return RanksBefore(domain, left.name, right.name);
             });
-  entries.resize(std::min(entries.size(), kPeersPerDomain));
+  entries.resize(std::min(entries.size(), kFetchersPerDomain));
   std::vector<TargetPtr> candidates;
   for (const HostEntry& entry : entries) {
     if (entry.name != this->own_name) {
