--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "src/core/json_reader.h"
+#include "src/net/address_member.h"
 #include "src/net/http_client.h"
 
 namespace auburnyard {
@@ -22,17 +23,6 @@
 constexpr std::uint32_t kMaxBytes = 16 * 1024 * 1024;
 constexpr std::uint32_t kMaxMs = 600'000;
 
-std::string Address(const detail::JsonReader& reader, std::string_view name) {
-  const std::string address = reader.String(name);
-  try {
-    ParseHostPort(address);
-  } catch (const Error&) {
-    throw Error(ErrorKind::kBadSettings,
-                reader.PathOf(name) + ": expected IP:port");
-  }
-  return address;
-}
-
 std::string Key(const detail::JsonReader& reader, std::string_view name) {
   std::string key = reader.String(name);
   if (key.size() < kMinKeyBytes) {
@@ -143,10 +133,10 @@
   settings.region = reader.String("region", "");
   settings.ownership_group =
       reader.String("ownership_group", settings.ownership_group);
-  settings.listen = Address(reader, "listen");
-  settings.peer_listen = Address(reader, "peer_listen");
-  settings.platform = Address(reader, "platform");
-  settings.host_list = Address(reader, "host_list");
+  settings.listen = ReadAddress(reader, "listen");
+  settings.peer_listen = ReadAddress(reader, "peer_listen");
+  settings.platform = ReadAddress(reader, "platform");
+  settings.host_list = ReadAddress(reader, "host_list");
   settings.peers = PeerAddresses(reader);
   settings.fleet_key = Key(reader, "fleet_key");
   settings.operator_key = Key(reader, "operator_key");
--- /dev/null
+++ b/src/net/address_member.h
@@ -0,0 +1,18 @@
+#ifndef AUBURNYARD_SRC_NET_ADDRESS_MEMBER_H_
+#define AUBURNYARD_SRC_NET_ADDRESS_MEMBER_H_
+
+#include <string>
+#include <string_view>
+
+#include "src/core/json_reader.h"
+
+namespace auburnyard {
+
+/// Member of a settings object that holds IP:port. Throws Error(kBadSettings)
+/// with the path of the member.
+std::string ReadAddress(const detail::JsonReader& reader,
+                        std::string_view name);
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_NET_ADDRESS_MEMBER_H_
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -4,7 +4,7 @@
 #include <sstream>
 
 #include "src/core/json_reader.h"
-#include "src/net/http_client.h"
+#include "src/net/address_member.h"
 
 namespace auburnyard {
 
@@ -15,17 +15,6 @@
 constexpr double kMaxBurst = 1'000'000;
 constexpr std::uint64_t kMaxPort = 65'535;
 
-std::string Address(const detail::JsonReader& reader, std::string_view name) {
-  const std::string address = reader.String(name);
-  try {
-    ParseHostPort(address);
-  } catch (const Error&) {
-    throw Error(ErrorKind::kBadSettings,
-                reader.PathOf(name) + ": expected IP:port");
-  }
-  return address;
-}
-
 std::chrono::seconds Seconds(const detail::JsonReader& reader,
                              std::string_view name) {
   return std::chrono::seconds(reader.Integer(name, 1, kMaxSeconds));
@@ -54,14 +43,14 @@
   }
   const detail::JsonReader listen = reader.Child("listen");
   listen.AllowOnly({"callers", "readiness", "peers", "metrics_port"});
-  settings.callers_address = Address(listen, "callers");
-  settings.readiness_address = Address(listen, "readiness");
-  settings.peers_address = Address(listen, "peers");
+  settings.callers_address = ReadAddress(listen, "callers");
+  settings.readiness_address = ReadAddress(listen, "readiness");
+  settings.peers_address = ReadAddress(listen, "peers");
   settings.metrics_port = static_cast<std::uint32_t>(
       listen.Integer("metrics_port", 0, kMaxPort, 0));
   const detail::JsonReader store = reader.Child("store");
   store.AllowOnly({"address"});
-  settings.store_address = Address(store, "address");
+  settings.store_address = ReadAddress(store, "address");
   settings.shutdown_time = Seconds(reader, "shutdown_time_s");
   const detail::JsonReader repeats = reader.Child("repeats");
   repeats.AllowOnly({"ratio", "burst", "window_s"});
