Follow the store through other hosts

Ruled out: a shorter retry delay to the store (it refused until 11.5 s and the hosts were back at 12.0 and 12.3 s).

Change: each host serves its copy of the store in the store's own dialect. A host that the store does not serve asks a random other one; a host that starts without the store asks the seeds of its settings.

--- a/include/auburnyard/host_table.h
+++ b/include/auburnyard/host_table.h
@@ -22,6 +22,7 @@
 
   /// Hosts that may use what all hosts share; at least 1.
   std::size_t Sharing(TimePoint now) const;
+  std::vector<HostEntry> Registered() const;
   /// Failure domains with registered hosts.
   std::vector<std::string> Domains() const;
   /// Registered hosts of a failure domain.
--- a/src/core/host_table.cc
+++ b/src/core/host_table.cc
@@ -47,6 +47,16 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(count));
 }
 
+std::vector<HostEntry> HostTable::Registered() const {
+  std::vector<HostEntry> found;
+  for (const auto& [name, known] : this->hosts) {
+    if (known.registered) {
+      found.push_back(known.entry);
+    }
+  }
+  return found;
+}
+
 std::vector<std::string> HostTable::Domains() const {
   std::set<std::string> domains;
   for (const auto& [name, known] : this->hosts) {
--- a/src/net/address_member.h
+++ b/src/net/address_member.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "src/core/json_reader.h"
 
@@ -13,6 +14,10 @@
 std::string ReadAddress(const detail::JsonReader& reader,
                         std::string_view name);
 
+/// Member that holds a list of them.
+std::vector<std::string> ReadAddresses(const detail::JsonReader& reader,
+                                       std::string_view name);
+
 }  // namespace auburnyard
 
 #endif  // AUBURNYARD_SRC_NET_ADDRESS_MEMBER_H_
--- /dev/null
+++ b/src/relay/mirror_server.h
@@ -0,0 +1,55 @@
+#ifndef AUBURNYARD_SRC_RELAY_MIRROR_SERVER_H_
+#define AUBURNYARD_SRC_RELAY_MIRROR_SERVER_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/net/http_server.h"
+#include "src/relay/relay_context.h"
+#include "src/relay/store_mirror.h"
+
+namespace auburnyard {
+
+/// Lets other hosts follow the store through this one. A question about changes
+/// waits for the next one if this host watches the store itself; otherwise it
+/// is answered at once, so that the other host asks elsewhere.
+class MirrorServer {
+ public:
+  MirrorServer(const RelayContext& context,
+               const StoreWire& wire,
+               const StoreMirror& mirror);
+
+  /// Throws Error(kConnection).
+  void Listen(const std::string& address);
+  /// Whether this host watches the store and is in contact with it.
+  void SetDirect(bool watches_store);
+  /// The mirror has changed.
+  void OnChange();
+  /// Answers what has waited long enough.
+  void Sweep();
+  std::size_t waiting() const { return this->questions.size(); }
+
+ private:
+  struct Waiting {
+    MirrorQuestion question;
+    TimePoint until;
+    HttpResponder respond;
+  };
+
+  void Handle(const HttpRequest& request, const HttpResponder& respond);
+  void Answer(const MirrorQuestion& question,
+              const HttpResponder& respond) const;
+  void AnswerAll();
+
+  const RelayContext& context;
+  const StoreWire& wire;
+  const StoreMirror& mirror;
+  std::shared_ptr<HttpServer> server;
+  std::vector<Waiting> questions;
+  bool direct = false;
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_RELAY_MIRROR_SERVER_H_
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -69,7 +69,9 @@
                this->dialect.store,
                this->dialect.schema,
                ParseHostPort(this->settings.store_address),
-               std::hash<std::string>()(this->settings.host_name),
+               {.host_name = this->settings.host_name,
+                .failure_domain = this->settings.failure_domain,
+                .seed_mirrors = this->settings.mirrors},
                this->service,
                this->targets,
                this->hosts,
@@ -126,6 +128,9 @@
             {"failure_domain", this->settings.failure_domain},
             {"callers", this->settings.callers_address}});
   this->ListenForHealth();
+  if (!this->settings.mirror_address.empty()) {
+    this->follower.ListenForMirror(this->settings.mirror_address);
+  }
   this->callers.Listen(Endpoint(this->settings.callers_address));
   this->peer_server.Listen(Endpoint(this->settings.peers_address));
   this->follower.Start();
@@ -148,7 +153,8 @@
       this->dialect.schema.encode_host(
           {.name = this->settings.host_name,
            .address = this->settings.peers_address,
-           .failure_domain = this->settings.failure_domain}),
+           .failure_domain = this->settings.failure_domain,
+           .mirror_address = this->settings.mirror_address}),
       std::hash<std::string>()(this->settings.host_name), std::move(hooks));
   this->registration->Start();
 }
@@ -189,11 +195,13 @@
   this->draining_since = this->clock.Now();
   this->callers.CloseAfterResponses();
   this->peer_server.CloseAfterResponses();
+  this->follower.StopMirroring();
   this->registration->Release();
 }
 
 void RelayHost::Sweep() {
   this->targets.Sweep();
+  this->follower.Sweep();
   this->peers.Sweep();
   this->callers.Sweep();
   this->peer_server.Sweep();
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -42,15 +42,21 @@
     settings.domain_regions.emplace(domain, region.as_string());
   }
   const detail::JsonReader listen = reader.Child("listen");
-  listen.AllowOnly({"callers", "readiness", "peers", "metrics_port"});
+  listen.AllowOnly({"callers", "readiness", "peers", "mirror", "metrics_port"});
   settings.callers_address = ReadAddress(listen, "callers");
   settings.readiness_address = ReadAddress(listen, "readiness");
   settings.peers_address = ReadAddress(listen, "peers");
+  if (listen.Has("mirror")) {
+    settings.mirror_address = ReadAddress(listen, "mirror");
+  }
   settings.metrics_port = static_cast<std::uint32_t>(
       listen.Integer("metrics_port", 0, kMaxPort, 0));
   const detail::JsonReader store = reader.Child("store");
-  store.AllowOnly({"address"});
+  store.AllowOnly({"address", "mirrors"});
   settings.store_address = ReadAddress(store, "address");
+  if (store.Has("mirrors")) {
+    settings.mirrors = ReadAddresses(store, "mirrors");
+  }
   settings.shutdown_time = Seconds(reader, "shutdown_time_s");
   const detail::JsonReader repeats = reader.Child("repeats");
   repeats.AllowOnly({"ratio", "burst", "window_s"});
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace auburnyard {
 
@@ -17,8 +18,12 @@
   std::string callers_address;    ///< IP:port
   std::string readiness_address;  ///< IP:port
   std::string peers_address;      ///< IP:port for other entry hosts
+  /// IP:port of the copy of the store for other hosts; may be empty.
+  std::string mirror_address;
   std::uint32_t metrics_port = 0;
   std::string store_address;  ///< IP:port
+  /// Copies of the store at other hosts, for a start without the store.
+  std::vector<std::string> mirrors;
   std::chrono::seconds shutdown_time{6};
   double repeat_ratio = 0;
   double repeat_burst = 0;
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -3,37 +3,83 @@
 #include <set>
 #include <utility>
 
+#include "auburnyard/rendezvous.h"
 #include "src/net/log.h"
 
 namespace auburnyard {
 
+namespace {
+
+// How often the choice between the store and a mirror is made again.
+constexpr std::chrono::seconds kChoiceInterval{1};
+
+}  // namespace
+
 StoreFollower::StoreFollower(const RelayContext& context,
                              const StoreWire& wire,
                              const StoreSchema& store_schema,
                              const HostPort& store,
-                             std::uint64_t seed,
+                             Identity own,
                              RelayService& relay_service,
                              TargetTable& target_table,
                              HostTable& host_table,
                              RelayMetrics& relay_metrics)
     : schema(store_schema),
+      identity(std::move(own)),
       service(relay_service),
       clock(context.clock),
       targets(target_table),
       hosts(host_table),
-      metrics(relay_metrics) {
+      metrics(relay_metrics),
+      mirror_server(context, wire, this->mirror),
+      choice(this->identity.host_name),
+      random(HashText(this->identity.host_name)) {
+  this->watch = std::make_shared<StoreWatch>(
+      context, wire, store, /*key_prefix=*/"",
+      HashText(this->identity.host_name), this->WatchHooks());
+  this->reader =
+      std::make_shared<MirrorReader>(context, wire, this->ReaderHooks());
+}
+
+StoreWatch::Hooks StoreFollower::WatchHooks() {
   StoreWatch::Hooks hooks;
-  hooks.on_snapshot = [this](const std::vector<StoreItem>& items) {
-    this->OnSnapshot(items);
+  hooks.on_snapshot = [this](const StorePage& page) {
+    this->OnSnapshot(page);
+    this->UpdateMirrorServer();
+  };
+  hooks.on_changes = [this](const StorePage& page) { this->OnChanges(page); };
+  hooks.on_lost = [this] {
+    this->UpdateMirrorServer();
+    this->reader->Start();
+  };
+  hooks.on_regained = [this] {
+    this->reader->Stop();
+    this->targets.HoldRemovals();
+    this->UpdateMirrorServer();
   };
-  hooks.on_change = [this](const StoreItem& item) { this->Apply(item); };
-  hooks.on_regained = [this] { this->targets.OnStoreRegained(); };
   hooks.on_call = [this](std::string_view kind, bool success) {
     this->metrics.CountStoreCall(kind, success);
   };
-  this->watch =
-      std::make_shared<StoreWatch>(context, wire, store,
-                                   /*key_prefix=*/"", seed, std::move(hooks));
+  return hooks;
+}
+
+MirrorReader::Hooks StoreFollower::ReaderHooks() {
+  MirrorReader::Hooks hooks;
+  hooks.choose = [this] { return this->NextMirror(); };
+  hooks.known_revision = [this] { return this->watch->known_revision(); };
+  hooks.on_page = [this](const StorePage& page, bool whole) {
+    this->OnMirrorPage(page, whole);
+  };
+  hooks.on_failure = [this] {
+    if (!this->followed.empty()) {
+      this->choice.OnFailure(this->clock.Now());
+      this->ChooseSource();
+    }
+  };
+  hooks.on_call = [this](std::string_view kind, bool success) {
+    this->metrics.CountStoreCall(kind, success);
+  };
+  return hooks;
 }
 
 void StoreFollower::Start() {
@@ -42,6 +88,104 @@
 
 void StoreFollower::Stop() {
   this->watch->Stop();
+  this->reader->Stop();
+}
+
+void StoreFollower::ListenForMirror(const std::string& address) {
+  this->mirror_server.Listen(address);
+}
+
+void StoreFollower::StopMirroring() {
+  this->leaving = true;
+  this->UpdateMirrorServer();
+}
+
+void StoreFollower::UpdateMirrorServer() {
+  this->mirror_server.SetDirect(!this->leaving && this->followed.empty() &&
+                                this->watch->synchronized() &&
+                                !this->watch->lost_contact());
+}
+
+void StoreFollower::Sweep() {
+  this->mirror_server.Sweep();
+  const TimePoint now = this->clock.Now();
+  if (now >= this->next_choice) {
+    this->next_choice = now + kChoiceInterval;
+    this->ChooseSource();
+  }
+}
+
+void StoreFollower::ChooseSource() {
+  if (!this->watch->synchronized() || this->watch->lost_contact()) {
+    return;
+  }
+  const std::vector<HostEntry> neighbours =
+      this->hosts.InDomain(this->identity.failure_domain);
+  const std::string next = this->choice.Choose(neighbours, this->clock.Now());
+  if (next == this->followed) {
+    return;
+  }
+  LogEvent(spdlog::level::info, "store_source_changed",
+           {{"mirror", next},
+            {"before", this->followed},
+            {"neighbours", neighbours.size()},
+            {"revision", this->mirror.revision()}});
+  const bool watched = this->followed.empty();
+  this->followed = next;
+  if (next.empty()) {
+    this->reader->Stop();
+    this->watch->Resume();
+  } else if (watched) {
+    this->watch->Pause();
+    this->reader->Start();
+  }
+  this->UpdateMirrorServer();
+}
+
+// Any host while the store does not serve this one, at random, because
+// neighbours often lose the store together.
+std::string StoreFollower::NextMirror() {
+  if (!this->followed.empty()) {
+    return this->followed;
+  }
+  std::vector<std::string> addresses;
+  for (const HostEntry& host : this->hosts.Registered()) {
+    if (host.name != this->identity.host_name && !host.mirror_address.empty()) {
+      addresses.push_back(host.mirror_address);
+    }
+  }
+  if (addresses.empty()) {
+    addresses = this->identity.seed_mirrors;
+  }
+  if (addresses.empty()) {
+    return {};
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, addresses.size() - 1);
+  return addresses[pick(this->random)];
+}
+
+// Without contact to the store, it is not known whether the other host holds
+// back removals after a loss of its own, so that all are held back here.
+void StoreFollower::OnMirrorPage(const StorePage& page, bool whole) {
+  if (whole && page.revision < this->mirror.revision()) {
+    return;
+  }
+  if (this->followed.empty() || !page.direct) {
+    this->targets.HoldRemovals();
+  }
+  if (whole || !page.items.empty()) {
+    LogEvent(spdlog::level::info, "mirror_read",
+             {{"whole", whole},
+              {"keys", page.items.size()},
+              {"revision", page.revision},
+              {"direct", page.direct}});
+  }
+  if (whole) {
+    this->OnSnapshot(page);
+  } else {
+    this->OnChanges(page);
+  }
+  this->watch->Advance(page.revision);
 }
 
 bool StoreFollower::synchronized() const {
@@ -81,11 +225,22 @@
   }
 }
 
-void StoreFollower::OnSnapshot(const std::vector<StoreItem>& items) {
+void StoreFollower::OnChanges(const StorePage& page) {
+  this->mirror.Apply(page.items, page.revision);
+  for (const StoreItem& item : page.items) {
+    this->Apply(item);
+  }
+  if (!page.items.empty()) {
+    this->mirror_server.OnChange();
+  }
+}
+
+void StoreFollower::OnSnapshot(const StorePage& page) {
+  this->mirror.Reset(page.items, page.revision);
   std::set<std::string, std::less<>> evacuated;
   std::vector<TargetEntry> registered_targets;
   std::vector<HostEntry> registered_hosts;
-  for (const StoreItem& item : items) {
+  for (const StoreItem& item : page.items) {
     const StoreChange change = this->Decode(item);
     if (const auto* routes = std::get_if<RoutesChanged>(&change)) {
       this->service.SetRoutes(routes->table);
@@ -100,6 +255,7 @@
   this->targets.ResetEvacuated(evacuated);
   this->hosts.Reset(registered_hosts, this->clock.Now());
   this->targets.Reset(registered_targets);
+  this->mirror_server.OnChange();
 }
 
 }  // namespace auburnyard
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -2,23 +2,39 @@
 #define AUBURNYARD_SRC_RELAY_STORE_FOLLOWER_H_
 
 #include <memory>
+#include <random>
+#include <string>
+#include <vector>
 
 #include "auburnyard/host_table.h"
+#include "auburnyard/mirror_choice.h"
+#include "src/relay/mirror_reader.h"
+#include "src/relay/mirror_server.h"
 #include "src/relay/relay_service.h"
 #include "src/relay/store_change.h"
+#include "src/relay/store_mirror.h"
 #include "src/relay/store_watch.h"
 
 namespace auburnyard {
 
 /// Keeps routes, evacuations, targets and entry hosts as the store has them.
-/// One watch follows all keys, because each call has a price.
+/// One watch follows all keys, because each call has a price. In large failure
+/// domains, and while the store does not serve this host, the mirrors of other
+/// hosts take its place.
 class StoreFollower {
  public:
+  struct Identity {
+    std::string host_name;
+    std::string failure_domain;
+    /// Mirrors that are known without the store.
+    std::vector<std::string> seed_mirrors;
+  };
+
   StoreFollower(const RelayContext& context,
                 const StoreWire& wire,
                 const StoreSchema& schema,
                 const HostPort& store,
-                std::uint64_t seed,
+                Identity identity,
                 RelayService& service,
                 TargetTable& targets,
                 HostTable& hosts,
@@ -26,21 +42,43 @@
 
   void Start();
   void Stop();
+  /// Lets other hosts follow the store through this one. Throws
+  /// Error(kConnection).
+  void ListenForMirror(const std::string& address);
+  /// Sends those hosts elsewhere, before this one ends.
+  void StopMirroring();
+  void Sweep();
   /// Routes and registrations were read at least once.
   bool synchronized() const;
 
  private:
-  void OnSnapshot(const std::vector<StoreItem>& items);
+  void OnSnapshot(const StorePage& page);
+  void OnChanges(const StorePage& page);
+  void OnMirrorPage(const StorePage& page, bool whole);
+  std::string NextMirror();
+  void ChooseSource();
+  void UpdateMirrorServer();
+  StoreWatch::Hooks WatchHooks();
+  MirrorReader::Hooks ReaderHooks();
   void Apply(const StoreItem& item);
   StoreChange Decode(const StoreItem& item);
 
   const StoreSchema& schema;
+  Identity identity;
   RelayService& service;
   const Clock& clock;
   TargetTable& targets;
   HostTable& hosts;
   RelayMetrics& metrics;
+  StoreMirror mirror;
+  MirrorServer mirror_server;
+  MirrorChoice choice;
+  std::mt19937_64 random;
+  std::string followed;  // mirror in place of the watch; may be empty
+  TimePoint next_choice{};
+  bool leaving = false;
   std::shared_ptr<StoreWatch> watch;
+  std::shared_ptr<MirrorReader> reader;
 };
 
 }  // namespace auburnyard
--- /dev/null
+++ b/src/relay/store_mirror.h
@@ -0,0 +1,43 @@
+#ifndef AUBURNYARD_SRC_RELAY_STORE_MIRROR_H_
+#define AUBURNYARD_SRC_RELAY_STORE_MIRROR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+#include "src/relay/store_wire.h"
+
+namespace auburnyard {
+
+/// Keys of the store as this host last saw them, for hosts that the store does
+/// not serve. A revision that was seen is never given up for an older one.
+class StoreMirror {
+ public:
+  /// Replaces all keys by a complete read at `revision`.
+  void Reset(std::span<const StoreItem> all, std::uint64_t revision);
+  /// Takes over changes that reach up to `revision`.
+  void Apply(std::span<const StoreItem> changes, std::uint64_t revision);
+
+  /// Nothing was read yet.
+  bool empty() const { return this->current == 0; }
+  std::uint64_t revision() const { return this->current; }
+  StorePage All() const;
+  /// Changes after a revision; empty if removals since then are forgotten.
+  std::optional<StorePage> ChangesAfter(std::uint64_t after) const;
+
+ private:
+  void Put(const StoreItem& item);
+  void ForgetOldRemovals();
+
+  std::map<std::string, StoreItem, std::less<>> items;
+  std::map<std::string, std::uint64_t, std::less<>>
+      removals;  // revision by key
+  std::uint64_t current = 0;
+  std::uint64_t oldest_change = 0;  // earlier removals may be unknown
+};
+
+}  // namespace auburnyard
+
+#endif  // AUBURNYARD_SRC_RELAY_STORE_MIRROR_H_
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -56,6 +56,24 @@
   }
 }
 
+void StoreWatch::Pause() {
+  ++this->round;
+  this->timer.cancel();
+  if (this->connection != nullptr) {
+    std::exchange(this->connection, nullptr)->Close();
+  }
+}
+
+void StoreWatch::Resume() {
+  ++this->round;
+  this->Watch();
+}
+
+void StoreWatch::Advance(std::uint64_t known) {
+  this->revision = std::max(this->revision, known);
+  this->has_snapshot = true;
+}
+
 void StoreWatch::Call(HttpCall call,
                       Duration timeout,
                       std::string_view kind,
@@ -67,8 +85,9 @@
   }
   this->connection->Exchange(
       call, timeout,
-      [self = this->shared_from_this(), next, kind](ExchangeResult result) {
-        if (self->stopped) {
+      [self = this->shared_from_this(), next, kind,
+       asked_in = this->round](ExchangeResult result) {
+        if (self->stopped || self->round != asked_in) {
           return;
         }
         self->hooks.on_call(
@@ -84,8 +103,9 @@
 void StoreWatch::After(Duration delay, void (StoreWatch::*next)()) {
   this->timer.expires_after(delay);
   this->timer.async_wait(
-      [self = this->shared_from_this(), next](boost::system::error_code error) {
-        if (!error && !self->stopped) {
+      [self = this->shared_from_this(), next,
+       asked_in = this->round](boost::system::error_code error) {
+        if (!error && !self->stopped && self->round == asked_in) {
           (self.get()->*next)();
         }
       });
@@ -107,6 +127,7 @@
               {"call", what},
               {"error", error},
               {"revision", this->revision}});
+    this->hooks.on_lost();
   }
   this->After(std::min<Duration>(this->backoff.Next(), kLongestRetry),
               this->has_snapshot ? &StoreWatch::Watch : &StoreWatch::ReadPage);
@@ -145,14 +166,20 @@
     this->ReadPage();
     return;
   }
-  this->revision = this->snapshot_revision;
   this->has_snapshot = true;
   this->cheap_read = true;
-  const std::vector<StoreItem> all = std::move(this->snapshot);
+  const StorePage all = {.items = std::move(this->snapshot),
+                         .revision = this->snapshot_revision};
   this->snapshot.clear();
+  // Another host told of newer changes while the pages were read.
+  if (all.revision < this->revision) {
+    this->Watch();
+    return;
+  }
+  this->revision = all.revision;
   LogEvent(spdlog::level::info, "store_read",
            {{"prefix", this->prefix},
-            {"keys", all.size()},
+            {"keys", all.items.size()},
             {"revision", this->revision}});
   this->hooks.on_snapshot(all);
   this->Watch();
@@ -187,9 +214,11 @@
     return;
   }
   this->OnAnswer();
-  for (const StoreItem& item : page.items) {
-    this->hooks.on_change(item);
-  }
+  // Another host may have told of some of them during the call.
+  std::erase_if(page.items, [this](const StoreItem& item) {
+    return item.revision <= this->revision;
+  });
+  this->hooks.on_changes(page);
   this->revision = std::max(this->revision, page.revision);
   this->pause = page.items.empty()
                     ? kShortestPause
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,8 +23,10 @@
  public:
   struct Hooks {
     /// All keys, in place of what was known.
-    std::function<void(const std::vector<StoreItem>&)> on_snapshot;
-    std::function<void(const StoreItem&)> on_change;
+    std::function<void(const StorePage&)> on_snapshot;
+    std::function<void(const StorePage&)> on_changes;
+    /// The store does not answer this host.
+    std::function<void()> on_lost;
     /// The store answers again. Called before the first news after it.
     std::function<void()> on_regained;
     std::function<void(std::string_view kind, bool success)> on_call;
@@ -38,6 +41,16 @@
 
   void Start();
   void Stop();
+  /// Makes no calls until Resume, which goes on from the known revision. Only
+  /// while the store answers.
+  void Pause();
+  void Resume();
+  bool lost_contact() const { return this->lost; }
+  /// Changes up to the revision became known in another way.
+  void Advance(std::uint64_t known_revision);
+  std::optional<std::uint64_t> known_revision() const {
+    return this->has_snapshot ? std::optional(this->revision) : std::nullopt;
+  }
   bool synchronized() const { return this->has_snapshot; }
   TimePoint last_contact() const { return this->contact_at; }
 
@@ -70,6 +83,7 @@
   bool cheap_read = true;  // the history still reaches back far enough
   bool lost = false;
   bool stopped = false;
+  std::uint64_t round = 0;  // answers to calls of earlier ones are ignored
   TimePoint contact_at{};
 };
 
--- a/src/relay/store_wire.h
+++ b/src/relay/store_wire.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,15 @@
   std::vector<StoreItem> items;
   bool more = false;
   std::uint64_t revision = 0;  ///< of the store when it answered
+  /// Of a mirror: its host watches the store and is in contact with it.
+  bool direct = false;
+};
+
+/// What another entry host wants to know of the store's keys.
+struct MirrorQuestion {
+  bool all = false;
+  std::uint64_t after = 0;            ///< revision, unless `all`
+  std::chrono::milliseconds wait{0};  ///< for a change
 };
 
 /// Calls to the store and their responses. Supplied by the adapter of the
@@ -52,6 +62,13 @@
       encode_put;
   /// The store no longer has the history that the watch needs.
   std::function<bool(const HttpResponse& response)> history_lost;
+  /// Reads a range or watch call that another host sends to this host's mirror.
+  /// Throws Error(kBadRequest).
+  std::function<MirrorQuestion(const HttpRequest& request)> decode_question;
+  /// Answer to it; without a page, the changes asked for are forgotten.
+  std::function<HttpResponse(const MirrorQuestion& question,
+                             const std::optional<StorePage>& page)>
+      encode_mirrored;
   /// The lease that the call names has ended.
   std::function<bool(const HttpResponse& response)> lease_ended;
 };
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -151,7 +151,7 @@
   }
 }
 
-void TargetTable::OnStoreRegained() {
+void TargetTable::HoldRemovals() {
   this->hold_removals_until = this->context.clock.Now() + kLapsedReturn;
 }
 
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -48,7 +48,9 @@
   void Remove(std::string_view id);
   /// Replaces all registrations.
   void Reset(const std::vector<TargetEntry>& entries);
-  void OnStoreRegained();
+  /// Holds removals back from now on for as long as lapsed registrations take
+  /// to return.
+  void HoldRemovals();
   void SetEvacuated(std::string_view domain, bool evacuated);
   void ResetEvacuated(const std::set<std::string, std::less<>>& domains);
   /// Limits per service; null until a configuration is known.
--- /dev/null
+++ b/test/mirror_choice_test.cc
@@ -0,0 +1,85 @@
+#include "auburnyard/mirror_choice.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+namespace auburnyard {
+
+namespace {
+
+const TimePoint kStart{std::chrono::seconds(1'000)};
+
+std::vector<HostEntry> Domain(std::size_t hosts) {
+  std::vector<HostEntry> entries;
+  for (std::size_t i = 0; i < hosts; ++i) {
+    const std::string name = "h" + std::to_string(i);
+    entries.push_back({.name = name, .mirror_address = "mirror of " + name});
+  }
+  return entries;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(mirror_choice_test)
+
+// Guards against a number of watches that grows with the domain, and against
+// hosts that follow one another while nobody watches the store.
+BOOST_AUTO_TEST_CASE(TwoHostsWatchForADomain) {
+  for (const std::size_t size : {5U, 13U, 60U}) {
+    const std::vector<HostEntry> domain = Domain(size);
+    std::set<std::string> watching;
+    std::set<std::string> followed;
+    for (const HostEntry& host : domain) {
+      const std::string mirror = MirrorChoice(host.name).Choose(domain, kStart);
+      if (mirror.empty()) {
+        watching.insert(host.mirror_address);
+      } else {
+        followed.insert(mirror);
+      }
+    }
+    BOOST_TEST(watching.size() == 2U);
+    BOOST_TEST(followed == watching, boost::test_tools::per_element());
+  }
+}
+
+// Guards against a delay where it saves next to nothing.
+BOOST_AUTO_TEST_CASE(SmallDomainsWatchThemselves) {
+  for (std::size_t size = 0; size < 5; ++size) {
+    BOOST_TEST(MirrorChoice("h0").Choose(Domain(size), kStart).empty());
+  }
+}
+
+// Guards against a host that stays with a mirror that does not answer, and
+// against one that never returns to mirrors.
+BOOST_AUTO_TEST_CASE(FailedMirrorIsReplacedByTheStoreThenByTheOther) {
+  const std::vector<HostEntry> domain = Domain(8);
+  for (const HostEntry& host : domain) {
+    MirrorChoice choice(host.name);
+    const std::string first = choice.Choose(domain, kStart);
+    if (first.empty()) {
+      continue;
+    }
+    choice.OnFailure(kStart);
+    BOOST_TEST(choice.Choose(domain, kStart).empty());
+    const std::string second =
+        choice.Choose(domain, kStart + std::chrono::seconds(10));
+    BOOST_TEST(!second.empty());
+    BOOST_TEST(second != first);
+  }
+}
+
+// Guards against hosts without a mirror being followed.
+BOOST_AUTO_TEST_CASE(HostsWithoutMirrorAreNotFollowed) {
+  std::vector<HostEntry> domain = Domain(8);
+  for (HostEntry& host : domain) {
+    host.mirror_address.clear();
+  }
+  BOOST_TEST(MirrorChoice("h0").Choose(domain, kStart).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
--- a/test/relay_process_test.cc
+++ b/test/relay_process_test.cc
@@ -28,9 +28,10 @@
 
 class Fleet : public util::RelayFleet {
  public:
-  explicit Fleet(std::uint16_t base_port)
-      : RelayFleet(
-            {.program_directory = TEST_BINARY_DIR, .base_port = base_port}) {
+  explicit Fleet(std::uint16_t base_port, std::size_t hosts_per_domain = 1)
+      : RelayFleet({.program_directory = TEST_BINARY_DIR,
+                    .base_port = base_port,
+                    .hosts_per_domain = hosts_per_domain}) {
     for (std::size_t i = 0; i < this->hosts(); ++i) {
       this->StartHost(i);
     }
@@ -43,6 +44,11 @@
   HttpResponse All(std::size_t host) {
     return this->Get(host, "/all/x", this->NextId(), kDeadline);
   }
+  bool InForce(std::size_t host, int version) {
+    return this->Get(host, "/v" + std::to_string(version) + "/x",
+                     this->NextId(), kDeadline)
+               .status == 200;
+  }
   bool Complete(std::size_t host) {
     const HttpResponse answer = this->All(host);
     return answer.status == 200 && answer.body == this->MergedRecords() &&
@@ -102,10 +108,7 @@
 BOOST_AUTO_TEST_CASE(RoutesSurviveAnOutageOfTheStore) {
   Fleet fleet(25'300);
   const auto in_force = [&fleet](std::size_t host, int version) {
-    return fleet
-               .Get(host, "/v" + std::to_string(version) + "/x", fleet.NextId(),
-                    kDeadline)
-               .status == 200;
+    return fleet.InForce(host, version);
   };
   fleet.PutRoutes(2);
   BOOST_TEST(Eventually([&] { return in_force(0, 2); }));
@@ -120,6 +123,52 @@
   BOOST_TEST(in_force(0, 3));
 }
 
+// Guards against old routes and targets at a host that the store alone does not
+// serve, and against such a host that starts and knows nothing.
+BOOST_AUTO_TEST_CASE(HostWithoutTheStoreFollowsTheOthers) {
+  Fleet fleet(25'600);
+  fleet.SetStoreRoute(0, util::RouteState::kCut);
+  fleet.PutRoutes(2);
+  BOOST_TEST(Eventually([&fleet] { return fleet.InForce(0, 2); }));
+  fleet.Unregister(0);
+  BOOST_TEST(Eventually([&fleet] {
+    const std::uint64_t before = fleet.target(0).arrivals();
+    fleet.All(0);
+    fleet.All(0);
+    return fleet.target(0).arrivals() == before;
+  }));
+  fleet.KillHost(0);
+  fleet.StartHost(0);
+  BOOST_TEST(Eventually([&fleet] { return fleet.Ready(0); }));
+  BOOST_TEST(fleet.InForce(0, 2));
+  BOOST_TEST(fleet.All(0).status == 200);
+  fleet.SetStoreRoute(0, util::RouteState::kPass);
+  fleet.PutRoutes(3);
+  BOOST_TEST(Eventually([&fleet] { return fleet.InForce(0, 3); }));
+}
+
+// Guards against calls to the store that grow with the number of hosts, and
+// against hosts of a large domain that lose their news with the hosts that
+// watch the store for them.
+BOOST_AUTO_TEST_CASE(LargeDomainsWatchTheStoreThroughTwoHosts) {
+  constexpr std::size_t kHostsPerDomain = 5;
+  constexpr std::size_t kWatches = 2 * Fleet::kDomains;
+  Fleet fleet(25'700, kHostsPerDomain);
+  BOOST_TEST(
+      Eventually([&fleet] { return fleet.store().watching() == kWatches; }));
+  fleet.PutRoutes(2);
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    BOOST_TEST(Eventually([&] { return fleet.InForce(host, 2); }));
+  }
+  // Whichever hosts watch, killing all but one of a domain takes them along.
+  for (std::size_t i = 0; i + 1 < kHostsPerDomain; ++i) {
+    fleet.KillHost(i * Fleet::kDomains);
+  }
+  fleet.PutRoutes(3);
+  const std::size_t survivor = (kHostsPerDomain - 1) * Fleet::kDomains;
+  BOOST_TEST(Eventually([&] { return fleet.InForce(survivor, 3); }));
+}
+
 // Guards against requests that are cut by a graceful shutdown.
 BOOST_AUTO_TEST_CASE(ShutdownAnswersWhatItAccepted) {
   Fleet fleet(25'400);
--- /dev/null
+++ b/test/store_mirror_test.cc
@@ -0,0 +1,149 @@
+#include "src/relay/store_mirror.h"
+
+#include <map>
+
+#include <rapidcheck.h>
+#include <boost/test/unit_test.hpp>
+
+#include "auburnyard/error.h"
+#include "platform/store_dialect.h"
+#include "test/property.h"
+
+namespace auburnyard {
+
+namespace {
+
+StoreItem Item(std::string key, std::uint64_t revision) {
+  return {.key = std::move(key),
+          .value = std::to_string(revision),
+          .revision = revision};
+}
+
+StoreItem Removal(std::string key, std::uint64_t revision) {
+  return {.key = std::move(key), .revision = revision, .removed = true};
+}
+
+using View = std::map<std::string, std::string>;
+
+void TakeOver(View& view, const StorePage& page) {
+  for (const StoreItem& item : page.items) {
+    if (item.removed) {
+      view.erase(item.key);
+    } else {
+      view[item.key] = item.value;
+    }
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(store_mirror_test)
+
+// Guards against a reader of the mirror that ends with other keys than the
+// store has, whatever it knew before and in whichever order it asked.
+BOOST_AUTO_TEST_CASE(ReaderEndsWithTheKeysOfTheStore) {
+  const std::string failure = test::CounterExample(7, [](std::uint8_t offset) {
+    StoreMirror mirror;
+    View truth;
+    View reader;
+    std::uint64_t known = 0;
+    std::uint64_t revision = 1;
+    mirror.Reset({}, revision);
+    const auto changes =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12));
+    for (const int change : changes) {
+      ++revision;
+      const std::string key = std::to_string(change / 2);
+      const StoreItem item =
+          change % 2 == 0 ? Item(key, revision) : Removal(key, revision);
+      mirror.Apply(std::span(&item, 1), revision);
+      if (item.removed) {
+        truth.erase(key);
+      } else {
+        truth[key] = item.value;
+      }
+      if ((revision + offset) % 3 != 0) {
+        continue;
+      }
+      const auto page = mirror.ChangesAfter(known);
+      if (!page) {
+        reader.clear();
+        TakeOver(reader, mirror.All());
+      } else {
+        TakeOver(reader, *page);
+      }
+      known = mirror.revision();
+      RC_ASSERT(reader == truth);
+    }
+  });
+  BOOST_TEST(failure == "");
+}
+
+// Guards against an older change that arrives late and undoes a newer one.
+BOOST_AUTO_TEST_CASE(OlderChangesAreIgnored) {
+  StoreMirror mirror;
+  const std::vector<StoreItem> start = {Item("a", 5), Item("b", 6)};
+  mirror.Reset(start, 6);
+  const std::vector<StoreItem> late = {Item("a", 4), Removal("b", 3)};
+  mirror.Apply(late, 4);
+  BOOST_TEST(mirror.revision() == 6U);
+  BOOST_TEST(mirror.All().items.size() == 2U);
+  mirror.Reset({}, 5);
+  BOOST_TEST(mirror.All().items.size() == 2U);
+}
+
+// Guards against a reader that misses removals from before the mirror began.
+BOOST_AUTO_TEST_CASE(ForgottenRemovalsAreTold) {
+  StoreMirror mirror;
+  mirror.Reset({}, 10);
+  BOOST_TEST(!mirror.ChangesAfter(9).has_value());
+  BOOST_TEST(mirror.ChangesAfter(10).has_value());
+  for (std::uint64_t revision = 11; revision < 3'000; ++revision) {
+    const StoreItem removal = Removal(std::to_string(revision), revision);
+    mirror.Apply(std::span(&removal, 1), revision);
+  }
+  BOOST_TEST(!mirror.ChangesAfter(10).has_value());
+  BOOST_TEST(mirror.ChangesAfter(2'990).has_value());
+}
+
+// Guards against answers of a mirror that the decoder of the store's answers
+// reads differently.
+BOOST_AUTO_TEST_CASE(AnswersReadLikeThoseOfTheStore) {
+  const StoreWire wire = platform::MakeStoreWire();
+  const StorePage page = {.items = {Item("a", 5), Removal("b", 6)},
+                          .revision = 7};
+  const StorePage changes =
+      wire.decode_watch(wire.encode_mirrored({.all = false, .after = 4}, page));
+  BOOST_REQUIRE(changes.items.size() == 2U);
+  BOOST_TEST(changes.revision == 7U);
+  BOOST_TEST(changes.items[0].value == "5");
+  BOOST_TEST(changes.items[1].removed);
+  const StorePage all =
+      wire.decode_range(wire.encode_mirrored({.all = true}, page));
+  BOOST_TEST(all.items.size() == 2U);
+  BOOST_TEST(wire.history_lost(wire.encode_mirrored({}, std::nullopt)));
+}
+
+// Guards against a question that is read as another one.
+BOOST_AUTO_TEST_CASE(QuestionsAreRead) {
+  const StoreWire wire = platform::MakeStoreWire();
+  const auto ask = [&wire](const HttpCall& call) {
+    HttpRequest request;
+    const std::size_t query = call.path.find('?');
+    request.path = call.path.substr(0, query);
+    request.query = call.path.substr(query + 1);
+    return wire.decode_question(request);
+  };
+  BOOST_TEST(ask(wire.encode_range("", "", false)).all);
+  const MirrorQuestion watch =
+      ask(wire.encode_watch("", 42, std::chrono::milliseconds(0)));
+  BOOST_TEST(!watch.all);
+  BOOST_TEST(watch.after == 42U);
+  HttpCall other;
+  other.path = "/other?after=1";
+  BOOST_CHECK_THROW(ask(other), Error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
--- a/test/store_watch_test.cc
+++ b/test/store_watch_test.cc
@@ -19,20 +19,23 @@
 
   void Start() {
     StoreWatch::Hooks hooks;
-    hooks.on_snapshot = [this](const std::vector<StoreItem>& items) {
+    hooks.on_snapshot = [this](const StorePage& page) {
       ++this->snapshots;
       this->known.clear();
-      for (const StoreItem& item : items) {
+      for (const StoreItem& item : page.items) {
         this->known[item.key] = item.value;
       }
     };
-    hooks.on_change = [this](const StoreItem& item) {
-      if (item.removed) {
-        this->known.erase(item.key);
-      } else {
-        this->known[item.key] = item.value;
+    hooks.on_changes = [this](const StorePage& page) {
+      for (const StoreItem& item : page.items) {
+        if (item.removed) {
+          this->known.erase(item.key);
+        } else {
+          this->known[item.key] = item.value;
+        }
       }
     };
+    hooks.on_lost = [this] { ++this->losses; };
     hooks.on_regained = [this] { ++this->regained; };
     hooks.on_call = [](std::string_view, bool) {};
     this->watch = std::make_shared<StoreWatch>(
@@ -63,6 +66,7 @@
   util::StoreStandin store{this->io};
   std::map<std::string, std::string> known;
   int snapshots = 0;
+  int losses = 0;
   int regained = 0;
   std::shared_ptr<StoreWatch> watch;
 };
@@ -129,6 +133,24 @@
   BOOST_TEST(world.regained >= 1);
 }
 
+// Guards against changes that another host told of being undone or repeated by
+// an answer of the store that is older.
+BOOST_AUTO_TEST_CASE(ChangesKnownOtherwiseAreNotRepeated) {
+  WatchFixture world;
+  world.store.Put("a", "1");
+  world.Start();
+  BOOST_TEST(world.Eventually([&world] { return world.snapshots == 1; }));
+  world.store.SetFault(util::StoreFault::kBusy);
+  BOOST_TEST(world.Eventually([&world] { return world.losses == 1; }));
+  world.store.Put("a", "2");  // revision 3, known from another host
+  world.known["a"] = "from another host";
+  world.watch->Advance(3);
+  world.store.Put("b", "3");
+  world.store.SetFault(util::StoreFault::kNone);
+  BOOST_TEST(world.Eventually([&world] { return world.known["b"] == "3"; }));
+  BOOST_TEST(world.known["a"] == "from another host");
+}
+
 // Guards against a registration that stays after its host has left, and one
 // that is not written again after its lease has ended.
 BOOST_AUTO_TEST_CASE(RegistrationFollowsItsLease) {
--- a/test/target_table_test.cc
+++ b/test/target_table_test.cc
@@ -88,7 +88,7 @@
   TableFixture world;
   world.table.Upsert(TableFixture::Entry("near", "d1"));
   world.table.Upsert(TableFixture::Entry("far", "d2"));
-  world.table.OnStoreRegained();
+  world.table.HoldRemovals();
   world.table.Remove("near");
   world.table.Remove("far");
   BOOST_TEST(world.Chosen() == "near");
@@ -124,7 +124,7 @@
   leaving.sequence = 5;
   leaving.draining = true;
   world.table.Upsert(leaving);
-  world.table.OnStoreRegained();
+  world.table.HoldRemovals();
   world.table.Remove("near");
   world.table.Upsert(TableFixture::Entry("near", "d1"));
   BOOST_TEST(world.Chosen() == "near");
--- a/util/experiment/child_process.cc
+++ b/util/experiment/child_process.cc
@@ -1,8 +1,8 @@
 #include "util/experiment/child_process.h"
 
-#include <chrono>
 #include <csignal>
 #include <cstring>
+#include <ctime>
 #include <thread>
 
 #include <fcntl.h>
@@ -65,4 +65,18 @@
   return this->exited;
 }
 
+std::chrono::milliseconds ChildProcess::ProcessorTime() const {
+  clockid_t clock{};
+  timespec used{};
+  const int error = clock_getcpuclockid(this->pid, &clock);
+  if (error != 0 || clock_gettime(clock, &used) != 0) {
+    throw Error(ErrorKind::kInternal, "processor time of process " +
+                                          std::to_string(this->pid) +
+                                          " cannot be read");
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::seconds(used.tv_sec) +
+      std::chrono::nanoseconds(used.tv_nsec));
+}
+
 }  // namespace auburnyard::util
--- a/util/experiment/child_process.h
+++ b/util/experiment/child_process.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_UTIL_EXPERIMENT_CHILD_PROCESS_H_
 #define AUBURNYARD_UTIL_EXPERIMENT_CHILD_PROCESS_H_
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
   void Signal(int number) const;
   /// Waits for the exit of a process that was asked to end; false after 10 s.
   bool WaitForExit();
+  /// Processor time that the process has used so far. Throws Error(kInternal).
+  std::chrono::milliseconds ProcessorTime() const;
 
  private:
   pid_t pid = -1;
--- a/util/relay_standin/relay_fleet.cc
+++ b/util/relay_standin/relay_fleet.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t kReplicas = 2;
 constexpr int kTimeoutMs = 2'000;
 constexpr int kObjectiveMs = 300;
+// Hosts whose mirrors every host knows from its settings.
+constexpr std::size_t kSeeds = 3;
 constexpr int kTopRecords = 64;
 constexpr std::chrono::seconds kReadinessTimeout{2};
 // Beyond the deadline that the entry host was given.
@@ -100,7 +102,7 @@
 }
 
 std::uint16_t RelayFleet::Port(std::size_t host, std::size_t kind) const {
-  constexpr std::size_t kKinds = 3;
+  constexpr std::size_t kKinds = 4;
   return static_cast<std::uint16_t>(this->options.base_port + host * kKinds +
                                     kind);
 }
@@ -117,6 +119,10 @@
   for (std::size_t i = 0; i < kDomains; ++i) {
     regions[DomainOf(i)] = "r" + std::to_string(i);
   }
+  boost::json::array mirrors;
+  for (std::size_t i = 0; i < std::min(kSeeds, this->hosts()); ++i) {
+    mirrors.emplace_back("127.0.0.1:" + std::to_string(this->Port(i, 3)));
+  }
   const boost::json::object settings = {
       {"host", "h" + std::to_string(host)},
       {"failure_domain", DomainOf(host)},
@@ -125,11 +131,13 @@
       {"listen",
        {{"callers", address(0)},
         {"readiness", address(1)},
-        {"peers", address(2)}}},
+        {"peers", address(2)},
+        {"mirror", address(3)}}},
       {"store",
        {{"address",
          "127.0.0.1:" +
-             std::to_string(this->store_routes.at(host % kDomains)->port())}}},
+             std::to_string(this->store_routes.at(host % kDomains)->port())},
+        {"mirrors", std::move(mirrors)}}},
       {"shutdown_time_s", 6},
       {"repeats", {{"ratio", 0.2}, {"burst", 60}, {"window_s", 10}}},
       {"cold_targets", {{"rate_factor", 1.5}, {"rate_margin", 5}}}};
--- a/util/relay_standin/relay_fleet.h
+++ b/util/relay_standin/relay_fleet.h
@@ -43,6 +43,10 @@
   /// Sends a signal to a running host.
   void SignalHost(std::size_t host, int number) const;
   bool WaitForExit(std::size_t host);
+  /// Of a running host.
+  std::chrono::milliseconds ProcessorTime(std::size_t host) const {
+    return this->processes.at(host)->ProcessorTime();
+  }
   bool running(std::size_t host) const {
     return this->processes.at(host) != nullptr;
   }
--- a/util/relay_standin/store_standin.cc
+++ b/util/relay_standin/store_standin.cc
@@ -57,6 +57,11 @@
   return found == this->call_counts.end() ? 0 : found->second;
 }
 
+std::size_t StoreStandin::watching() const {
+  const std::lock_guard lock(this->mutex);
+  return this->watches.size();
+}
+
 bool StoreStandin::Has(const std::string& key) const {
   const std::lock_guard lock(this->mutex);
   return this->items.contains(key);
--- a/util/relay_standin/store_standin.h
+++ b/util/relay_standin/store_standin.h
@@ -43,6 +43,8 @@
   /// Watches from before now are told that the history is gone.
   void ForgetHistory();
   void EndAllLeases();
+  /// Watches that wait for a change now.
+  std::size_t watching() const;
   std::uint64_t calls(const std::string& path) const;
   bool Has(const std::string& key) const;
 
