Let the hosts with most processor time serve the others of a domain

Change: hosts register their share of a processor; fetchers and watchers are the hosts with most of it.

--- a/include/auburnyard/host_entry.h
+++ b/include/auburnyard/host_entry.h
@@ -10,6 +10,7 @@
   std::string name;
   std::string address;  ///< IP:port for requests of other entry hosts
   std::string failure_domain;
+  double cores = 1;            ///< share of a processor that it may use
   std::string mirror_address;  ///< IP:port of its copy of the store; may be ""
 
   bool operator==(const HostEntry&) const = default;
--- a/include/auburnyard/host_table.h
+++ b/include/auburnyard/host_table.h
@@ -11,6 +11,11 @@
 
 namespace auburnyard {
 
+/// The hosts that serve others come first: those with most processor time, and
+/// among equal ones an order that depends on `key`. Every host with the same
+/// view computes the same one.
+void SortForSharedWork(std::vector<HostEntry>& hosts, std::string_view key);
+
 /// Registered entry hosts. A host whose registration is gone still counts for a
 /// while, because it may be alive and out of reach of the store.
 class HostTable {
--- a/src/core/host_table.cc
+++ b/src/core/host_table.cc
@@ -14,6 +14,15 @@
 
 }  // namespace
 
+void SortForSharedWork(std::vector<HostEntry>& hosts, std::string_view key) {
+  std::sort(hosts.begin(), hosts.end(),
+            [key](const HostEntry& left, const HostEntry& right) {
+              return left.cores != right.cores
+                         ? left.cores > right.cores
+                         : RanksBefore(key, left.name, right.name);
+            });
+}
+
 void HostTable::Upsert(const HostEntry& entry) {
   this->hosts[entry.name] = {.entry = entry};
 }
--- a/src/core/mirror_choice.cc
+++ b/src/core/mirror_choice.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "auburnyard/host_table.h"
 #include "auburnyard/rendezvous.h"
 
 namespace auburnyard {
@@ -17,8 +18,8 @@
 constexpr std::size_t kSmallestMirrored = 5;
 // Longer than a mirror needs to notice that it has lost the store.
 constexpr std::chrono::seconds kDirectAfterFailure{6};
-// Sets the ranking apart from that of the hosts that fetch bundles, which have
-// more work.
+// Sets the order among equal hosts apart from that of the hosts that fetch
+// bundles, which have more work.
 constexpr std::string_view kRankingKey = "store watchers";
 
 }  // namespace
@@ -34,13 +35,8 @@
   std::copy_if(
       neighbours.begin(), neighbours.end(), std::back_inserter(ranked),
       [](const HostEntry& host) { return !host.mirror_address.empty(); });
-  const std::size_t watchers = std::min(kWatchersPerDomain, ranked.size());
-  std::partial_sort(
-      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(watchers),
-      ranked.end(), [](const HostEntry& left, const HostEntry& right) {
-        return RanksBefore(kRankingKey, left.name, right.name);
-      });
-  ranked.resize(watchers);
+  SortForSharedWork(ranked, kRankingKey);
+  ranked.resize(std::min(kWatchersPerDomain, ranked.size()));
   const bool watches = std::any_of(
       ranked.begin(), ranked.end(),
       [this](const HostEntry& host) { return host.name == this->host_name; });
--- a/src/relay/peer_table.cc
+++ b/src/relay/peer_table.cc
@@ -51,14 +51,12 @@
   return state;
 }
 
-// All hosts choose the same ones: a host that fetches for many others sees
-// enough of each target to know which ones are slow or in a pause.
+// All hosts choose the same ones, of those with most processor time: a host
+// that fetches for many others sees enough of each target to know which ones
+// are slow or in a pause.
 std::vector<TargetPtr> PeerTable::Candidates(std::string_view domain) {
   std::vector<HostEntry> entries = this->hosts.InDomain(domain);
-  std::sort(entries.begin(), entries.end(),
-            [domain](const HostEntry& left, const HostEntry& right) {
-              return RanksBefore(domain, left.name, right.name);
-            });
+  SortForSharedWork(entries, domain);
   entries.resize(std::min(entries.size(), kFetchersPerDomain));
   std::vector<TargetPtr> candidates;
   for (const HostEntry& entry : entries) {
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -154,6 +154,7 @@
           {.name = this->settings.host_name,
            .address = this->settings.peers_address,
            .failure_domain = this->settings.failure_domain,
+           .cores = this->settings.cores,
            .mirror_address = this->settings.mirror_address}),
       std::hash<std::string>()(this->settings.host_name), std::move(hooks));
   this->registration->Start();
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -13,6 +13,7 @@
 constexpr std::uint64_t kMaxSeconds = 3'600;
 constexpr double kMaxRatio = 10;
 constexpr double kMaxBurst = 1'000'000;
+constexpr double kMaxCores = 1'024;
 constexpr std::uint64_t kMaxPort = 65'535;
 
 std::chrono::seconds Seconds(const detail::JsonReader& reader,
@@ -28,7 +29,7 @@
   const detail::JsonReader reader(document, "", ErrorKind::kBadSettings);
   reader.AllowOnly({"host", "failure_domain", "region", "domain_regions",
                     "listen", "store", "shutdown_time_s", "repeats",
-                    "cold_targets", "log_level"});
+                    "cold_targets", "cores", "log_level"});
   RelaySettings settings;
   settings.host_name = reader.String("host");
   settings.failure_domain = reader.String("failure_domain");
@@ -41,6 +42,7 @@
     }
     settings.domain_regions.emplace(domain, region.as_string());
   }
+  settings.cores = reader.Number("cores", 0, kMaxCores, 1);
   const detail::JsonReader listen = reader.Child("listen");
   listen.AllowOnly({"callers", "readiness", "peers", "mirror", "metrics_port"});
   settings.callers_address = ReadAddress(listen, "callers");
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -15,6 +15,7 @@
   std::string failure_domain;
   std::string region;
   std::map<std::string, std::string, std::less<>> domain_regions;
+  double cores = 1;               ///< share of a processor
   std::string callers_address;    ///< IP:port
   std::string readiness_address;  ///< IP:port
   std::string peers_address;      ///< IP:port for other entry hosts
--- a/test/mirror_choice_test.cc
+++ b/test/mirror_choice_test.cc
@@ -45,6 +45,18 @@
   }
 }
 
+// Guards against small hosts that serve a whole domain beside larger ones.
+BOOST_AUTO_TEST_CASE(TheLargestHostsWatch) {
+  std::vector<HostEntry> domain = Domain(13);
+  for (HostEntry& host : domain) {
+    host.cores = host.name == "h7" || host.name == "h2" ? 0.5 : 0.12;
+  }
+  for (const HostEntry& host : domain) {
+    const bool watches = MirrorChoice(host.name).Choose(domain, kStart).empty();
+    BOOST_TEST(watches == (host.cores > 0.2));
+  }
+}
+
 // Guards against a delay where it saves next to nothing.
 BOOST_AUTO_TEST_CASE(SmallDomainsWatchThemselves) {
   for (std::size_t size = 0; size < 5; ++size) {
--- a/test/peer_table_test.cc
+++ b/test/peer_table_test.cc
@@ -36,6 +36,28 @@
   BOOST_TEST(chosen.size() == 2U);
 }
 
+// Guards against small hosts that fetch for all others beside larger ones.
+BOOST_AUTO_TEST_CASE(TheLargestHostsFetch) {
+  Clock clock;
+  boost::asio::io_context io;
+  const RelayWire wire = platform::MakeRelayWire();
+  const RelayContext context{io, clock, wire};
+  HostTable hosts;
+  for (int i = 0; i < 9; ++i) {
+    hosts.Upsert({.name = "h" + std::to_string(i),
+                  .address = "127.0.0.1:9",
+                  .failure_domain = "far",
+                  .cores = i == 4 || i == 8 ? 0.5 : 0.12});
+  }
+  PeerTable peers(context, hosts, "self", "near");
+  std::set<std::string> chosen;
+  for (int request = 0; request < 40; ++request) {
+    chosen.insert(peers.Choose("far")->entry().id);
+  }
+  BOOST_TEST(chosen == (std::set<std::string>{"h4", "h8"}),
+             boost::test_tools::per_element());
+}
+
 // Guards against bundles for a domain whose hosts are gone.
 BOOST_AUTO_TEST_CASE(DomainWithoutHostsHasNoFetcher) {
   Clock clock;
