Ask for bundles one round trip before the objective

The time in which the answer was asked for was shortened by the shortest latency of a bundle, which holds an execution at a target besides the way.

Change: the round trip is the shortest time in which a connection to the host was established. 4 ms are left for the handling on both hosts.

Conclusion: kept; the test of the round trip fails on the code before.

--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -27,8 +27,13 @@
   }
   Distance distance() const { return this->location; }
   const LatencyEstimate& latency() const { return this->latency_estimate; }
+  /// Time that a request and its reply spend on the way; at most the shortest
+  /// latency seen.
+  Duration RoundTrip() const;
   std::size_t in_flight() const { return this->sent.size(); }
 
+  /// A connection was established, which takes one round trip at least.
+  void OnConnected(Duration took);
   void OnSent(TimePoint now);
   /// An exchange that was sent at `sent_at` ended with a whole reply.
   void OnReply(TimePoint sent_at, TimePoint now);
@@ -58,6 +63,7 @@
   TargetEntry registration;
   Distance location;
   LatencyEstimate latency_estimate;
+  Duration shortest_connect = Duration::max();
   std::vector<TimePoint> sent;  // of the requests in flight
   std::optional<LoadReport> load;
   TimePoint load_at{};
--- a/src/core/target_state.cc
+++ b/src/core/target_state.cc
@@ -58,6 +58,14 @@
       location(from_here),
       latency_estimate(PriorFor(from_here)) {}
 
+void TargetState::OnConnected(Duration took) {
+  this->shortest_connect = std::min(this->shortest_connect, took);
+}
+
+Duration TargetState::RoundTrip() const {
+  return std::min(this->shortest_connect, this->latency_estimate.Floor());
+}
+
 void TargetState::OnSent(TimePoint now) {
   this->sent.push_back(now);
 }
--- a/src/relay/target_connection.cc
+++ b/src/relay/target_connection.cc
@@ -50,7 +50,8 @@
     boost::beast::error_code ignored;
     self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     self->state = State::kIdle;
-    self->state_since = self->context.clock.Now();
+    self->connected_in = self->context.clock.Now() - self->state_since;
+    self->state_since += self->connected_in;
     self->Read();
     self->hooks.on_connected(self, true);
   });
--- a/src/relay/target_connection.h
+++ b/src/relay/target_connection.h
@@ -50,6 +50,8 @@
   bool busy() const { return this->state == State::kBusy; }
   /// When the connection entered its present state.
   TimePoint since() const { return this->state_since; }
+  /// Time from the connection's start until it was established.
+  Duration connect_time() const { return this->connected_in; }
   TimePoint sent_at() const { return this->exchange_sent_at; }
   const TargetExchangePtr& exchange() const { return this->current; }
   /// When the target closes the connection if it stays idle.
@@ -73,6 +75,7 @@
   Hooks hooks;
   State state = State::kConnecting;
   TimePoint state_since{};
+  Duration connected_in{};
   TimePoint exchange_sent_at{};
   TimePoint idle_limit = TimePoint::max();
   boost::beast::flat_buffer buffer;
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -22,6 +22,8 @@
 // connection. Targets must not be at work half a second after the caller left.
 constexpr milliseconds kLinger{350};
 constexpr int kFirstServerError = 500;
+// Reading the request and writing the reply of a bundle, on both hosts.
+constexpr milliseconds kBundleHandling{4};
 // Another entry host gets at least this long for its answer.
 constexpr milliseconds kShortestAnswerTime{5};
 // Exchanges that wait for a connection to one target.
@@ -182,7 +184,7 @@
   if (work->request->answer_by != TimePoint::max()) {
     const auto within = std::chrono::duration_cast<milliseconds>(
         work->request->answer_by - this->context.clock.Now() -
-        this->state->latency().Floor());
+        this->state->RoundTrip() - kBundleHandling);
     head.insert(0, this->context.wire.encode_answer_within(
                        std::max(within, kShortestAnswerTime)));
   }
@@ -201,6 +203,7 @@
     }
     return;
   }
+  this->state->OnConnected(connection->connect_time());
   if (this->is_retired) {
     connection->Close();
     this->Remove(connection);
--- a/test/relay_core_test.cc
+++ b/test/relay_core_test.cc
@@ -184,6 +184,20 @@
       std::all_of(seen.begin(), seen.end(), [](bool one) { return one; }));
 }
 
+// Guards against bundles that are asked for too early an answer: what targets
+// need to execute a request is not spent on the way.
+BOOST_AUTO_TEST_CASE(RoundTripLeavesOutExecution) {
+  TargetState state({.id = "t"}, Distance::kOtherRegion);
+  state.OnSent(At(0));
+  state.OnReply(At(0), At(52));
+  BOOST_TEST(state.RoundTrip() == milliseconds(52));
+  state.OnConnected(milliseconds(44));
+  state.OnConnected(milliseconds(40));
+  state.OnConnected(milliseconds(450));
+  BOOST_TEST(state.RoundTrip() == milliseconds(40));
+  BOOST_TEST(state.latency().Floor() == milliseconds(52));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
