Fetch parts that bundles lack if the answer needs them

The request was then refused about 85 ms after its arrival, although its deadline was 1 s away, because the lacking parts were not known by name.

Ruled out: dividing the allowance among the bundles (a bundle that lacks more than its part would come late although the others lack none; not tried).

Change: a bundle names the shards it lacks. Once the other parts are in, or the objective has passed, they are fetched directly if the answer needs them and no further target could be reached than the route allows.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -25,6 +25,8 @@
   std::string head;  ///< encoded headers that are passed on with the reply
   /// Of the parts in a merged reply of another entry host.
   std::vector<std::string> part_signatures;
+  /// Services of the parts that it lacks; empty if the host did not name them.
+  std::vector<std::string> lacking;
 
   bool success() const { return this->status / 100 == 2; }
 };
@@ -59,6 +61,7 @@
   std::string records;                     // kMerged
   std::vector<std::string> signatures;     // kMerged
   std::size_t missing = 0;                 // kMerged: parts left out
+  std::vector<std::string> lacking;        // kMerged: their services
   ErrorKind error = ErrorKind::kInternal;  // kRefusal
   RunState run = RunState::kNotRun;        // kRefusal
 };
@@ -137,6 +140,7 @@
     std::optional<RelayReply> held;
     const Bundle* bundle = nullptr;
     bool answered = false;              // its part is in the answer
+    bool lacking = false;               // its bundle came without it
     bool arrived = false;               // an attempt reached a target
     std::uint32_t executions = 0;       // attempts that may have run
     std::optional<RelayReply> failure;  // a failure reply of a target
@@ -155,6 +159,10 @@
   /// Starts attempts for the parts of a bundle that is late or lost.
   void SplitBundle(Bundle& bundle, TimePoint now);
   void TakeBundle(Bundle& bundle, RelayReply reply);
+  void TakeBundledPart(std::uint32_t index, bool came);
+  /// Retries parts that bundles came without, once it shows that the answer
+  /// needs them.
+  void ContinueLackingParts(TimePoint now);
   void TakePart(Part& part, RelayReply reply);
   void TakeHeldParts();
   bool MaySplit(const Bundle& bundle) const;
@@ -187,6 +195,7 @@
   std::vector<std::string> signatures;
   std::size_t open_parts;
   std::size_t failed_parts = 0;
+  std::size_t lacking_parts = 0;  // open, waiting for ContinueLackingParts
   std::uint32_t repeat_count = 0;
   bool no_target = false;  // a part failed because no target is known
   bool done = false;
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -213,6 +213,9 @@
 }
 
 void FanOut::CheckProgress(TimePoint now) {
+  if (!this->done) {
+    this->ContinueLackingParts(now);
+  }
   if (this->done) {
     return;
   }
@@ -254,7 +257,8 @@
 TimePoint FanOut::NextTimer() const {
   TimePoint next = this->request.deadline;
   const std::size_t missing = this->failed_parts + this->open_parts;
-  if (this->request.route->fans_out() && missing <= this->AllowedMissing()) {
+  if (this->lacking_parts > 0 ||
+      (this->request.route->fans_out() && missing <= this->AllowedMissing())) {
     next = std::min(next, this->request.answer_by);
   }
   for (const Part& part : this->parts) {
@@ -281,6 +285,11 @@
   result.kind = FanOutResult::Kind::kMerged;
   result.records = this->merger.Take();
   result.missing = this->parts.size() - this->signatures.size();
+  for (const Part& part : this->parts) {
+    if (!part.answered) {
+      result.lacking.emplace_back(part.service);
+    }
+  }
   result.signatures = std::move(this->signatures);
   this->Finish(std::move(result));
 }
--- a/src/core/fan_out_bundles.cc
+++ b/src/core/fan_out_bundles.cc
@@ -90,13 +90,17 @@
   if (this->done) {
     return;
   }
+  const bool named = reply.lacking.size() + answered == bundle.parts.size();
+  if (!named) {
+    reply.lacking.clear();
+  }
   const auto held = static_cast<std::size_t>(std::count_if(
       bundle.parts.begin(), bundle.parts.end(), [this](std::uint32_t part) {
         return this->parts[part].held.has_value();
       }));
   // Its records cannot be told from those of the parts that came directly, so
-  // that only one of the two can be used.
-  if (held < answered) {
+  // that only one of the two can be used if the host did not name its parts.
+  if (named || held < answered) {
     this->TakeBundle(bundle, std::move(reply));
   } else {
     this->ContinueParts(bundle, now);
@@ -122,10 +126,23 @@
 void FanOut::TakeBundle(Bundle& bundle, RelayReply reply) {
   this->merger.Add(reply.body);
   const std::size_t answered = reply.part_signatures.size();
+  const bool named = reply.lacking.size() + answered == bundle.parts.size();
   std::move(reply.part_signatures.begin(), reply.part_signatures.end(),
             std::back_inserter(this->signatures));
   for (const std::uint32_t index : bundle.parts) {
-    Part& part = this->parts[index];
+    const bool came =
+        std::find(reply.lacking.begin(), reply.lacking.end(),
+                  this->parts[index].service) == reply.lacking.end();
+    this->TakeBundledPart(index, came);
+  }
+  if (!named) {
+    this->failed_parts += bundle.parts.size() - answered;
+  }
+}
+
+void FanOut::TakeBundledPart(std::uint32_t index, bool came) {
+  Part& part = this->parts[index];
+  if (came) {
     if (!part.settled) {
       this->Settle(part);
     } else if (!part.answered) {
@@ -134,8 +151,37 @@
     part.answered = true;
     part.held.reset();
     this->AbandonAttempts(index);
+  } else if (!part.settled && !HasOpenAttempt(part)) {
+    part.lacking = true;
+    ++this->lacking_parts;
+  }
+}
+
+// Their targets were asked in time already, so that another attempt can only
+// help an answer that is late for lack of them.
+void FanOut::ContinueLackingParts(TimePoint now) {
+  const bool decided =
+      this->open_parts == this->lacking_parts || now >= this->request.answer_by;
+  if (this->lacking_parts == 0 || !decided) {
+    return;
+  }
+  const std::size_t missing = this->failed_parts + this->open_parts;
+  const bool needed = missing > this->AllowedMissing();
+  this->lacking_parts = 0;
+  for (std::uint32_t i = 0; i < this->parts.size() && !this->done; ++i) {
+    Part& part = this->parts[i];
+    if (!std::exchange(part.lacking, false)) {
+      continue;
+    }
+    // The other host may have reached as many targets as are allowed.
+    if (needed && this->hooks.replicas(part.service) <=
+                      this->request.route->max_attempts) {
+      this->Continue(i, now);
+    } else {
+      ++this->failed_parts;
+      this->Settle(part);
+    }
   }
-  this->failed_parts += bundle.parts.size() - answered;
 }
 
 void FanOut::TakeHeldParts() {
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -318,7 +318,11 @@
   if (failed || result.missing > 0 || latency > job->route->latency_objective) {
     this->LogOutcome(*job, request, result, latency);
   }
-  this->Respond(*job, request.request_id(), this->MakeAnswer(result));
+  CallerAnswer answer = this->MakeAnswer(result);
+  if (job->from_peer && !result.lacking.empty()) {
+    answer.head += this->context.wire.encode_lacking(result.lacking);
+  }
+  this->Respond(*job, request.request_id(), std::move(answer));
 }
 
 void RelayService::LogOutcome(const RelayJob& job,
--- a/src/relay/relay_wire.h
+++ b/src/relay/relay_wire.h
@@ -40,6 +40,7 @@
   std::string request_id;  ///< of the request that is answered; may be empty
   std::string signature;
   std::vector<std::string> part_signatures;  ///< of another entry host
+  std::vector<std::string> lacking;          ///< shards it has no part of
   bool refused = false;       ///< the target did not run the request
   bool wrong_target = false;  ///< another target has this address
   bool encoded_body = false;  ///< the body is not the target's own bytes
@@ -71,6 +72,9 @@
   std::function<std::string(std::span<const std::string_view> shards,
                             std::size_t may_lack)>
       encode_bundle;
+  /// Header that names the shards that an answer to another entry host lacks.
+  std::function<std::string(std::span<const std::string> shards)>
+      encode_lacking;
   /// Status line and headers of a merged answer.
   std::function<std::string(const FanOutResult& result)> encode_merged;
 };
--- a/src/relay/target_connection.cc
+++ b/src/relay/target_connection.cc
@@ -172,6 +172,7 @@
   end.reply.status = end.head.status;
   end.reply.signature = end.head.signature;
   end.reply.part_signatures = end.head.part_signatures;
+  end.reply.lacking = end.head.lacking;
   if (this->current->request->passes_reply_on) {
     end.reply.head = this->context.wire.encode_reply(response);
   }
--- a/test/fan_out_bundle_test.cc
+++ b/test/fan_out_bundle_test.cc
@@ -14,9 +14,12 @@
  public:
   BundleFixture() : FanOutFixture(4) { this->bundled = {1, 2, 3}; }
 
-  void BundleReply(std::size_t answered, std::int64_t ms) {
+  void BundleReply(std::size_t answered,
+                   std::int64_t ms,
+                   std::vector<std::string> lacking = {}) {
     RelayReply reply;
     reply.status = 200;
+    reply.lacking = std::move(lacking);
     for (std::size_t i = 0; i < answered; ++i) {
       reply.part_signatures.push_back("bundled");
       reply.body += std::string(RecordMerger::kRecordBytes, 'z');
@@ -61,6 +64,81 @@
   BOOST_TEST(world.results.front().missing == 1U);
 }
 
+// Guards against a refusal long before the deadline when bundles together lack
+// more than the answer may.
+BOOST_AUTO_TEST_CASE(LackingPartsAreFetchedIfTheAnswerNeedsThem) {
+  BundleFixture world;
+  world.route.min_coverage = 1;
+  world.Start();
+  world.SendAll();
+  world.machine->OnBundleSent(0);
+  world.BundleReply(2, 20, {"d"});
+  BOOST_TEST(world.sent.size() == 1U);
+  world.Reply(0, 25);
+  BOOST_REQUIRE_EQUAL(world.sent.size(), 2U);
+  BOOST_TEST(world.sent.back().id.part == 3U);
+  BOOST_TEST(world.repeats_taken == 1);
+  world.SendAll();
+  world.Reply(1, 90);
+  BOOST_REQUIRE_EQUAL(world.results.size(), 1U);
+  BOOST_TEST(world.results.front().missing == 0U);
+  BOOST_TEST(world.results.front().signatures.size() == 4U);
+}
+
+// Guards against repeats for parts that the answer can do without.
+BOOST_AUTO_TEST_CASE(LackingPartsAreLeftOutIfTheAnswerSuffices) {
+  BundleFixture world;
+  world.Start();
+  world.SendAll();
+  world.machine->OnBundleSent(0);
+  world.BundleReply(2, 20, {"d"});
+  world.Reply(0, 25);
+  BOOST_REQUIRE_EQUAL(world.results.size(), 1U);
+  BOOST_TEST(world.results.front().missing == 1U);
+  BOOST_TEST(world.results.front().lacking == (std::vector<std::string>{"d"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(world.sent.size() == 1U);
+}
+
+// Guards against executions at more targets than the route allows: the other
+// host may have used two, and a third one exists.
+BOOST_AUTO_TEST_CASE(LackingPartsAreNotFetchedIfMoreTargetsExist) {
+  BundleFixture world;
+  world.replica_count = 3;
+  world.route.min_coverage = 1;
+  world.Start();
+  world.SendAll();
+  world.machine->OnBundleSent(0);
+  world.BundleReply(2, 20, {"d"});
+  world.Reply(0, 25);
+  BOOST_REQUIRE_EQUAL(world.results.size(), 1U);
+  BOOST_TEST((world.results.front().kind == Kind::kRefusal));
+  BOOST_TEST(world.sent.size() == 1U);
+}
+
+// Guards against a part that is lost because it came directly and its bundle
+// came without it.
+BOOST_AUTO_TEST_CASE(PartThatCameDirectlyCompletesItsBundle) {
+  BundleFixture world;
+  world.route.min_coverage = 1;
+  FanOut& machine = world.Start();
+  world.SendAll();
+  machine.OnBundleSent(0);
+  machine.OnTimer(FanOutFixture::At(116));
+  world.SendAll();
+  for (std::size_t i = 0; i < world.sent.size(); ++i) {
+    if (world.sent[i].id.part == 3) {
+      world.Reply(i, 120);
+      break;
+    }
+  }
+  world.BundleReply(2, 125, {"d"});
+  world.Reply(0, 130);
+  BOOST_REQUIRE_EQUAL(world.results.size(), 1U);
+  BOOST_TEST(world.results.front().missing == 0U);
+  BOOST_TEST(CountOf(world.results.front().signatures, "bundled") == 2U);
+}
+
 // Guards against losing all parts with the entry host that fetches them.
 BOOST_AUTO_TEST_CASE(PartsOfAnUnreachableHostAreFetchedDirectly) {
   BundleFixture world;
--- a/test/platform_dialect_test.cc
+++ b/test/platform_dialect_test.cc
@@ -154,6 +154,22 @@
   BOOST_TEST(decoded.forwarded_head == "GET / HTTP/1.1\r\nHost: h\r\n");
 }
 
+// Guards against parts that an answer lacks and the asking host counts as
+// there.
+BOOST_AUTO_TEST_CASE(LackingShardsAreReadBack) {
+  const RelayWire wire = platform::MakeRelayWire();
+  const std::vector<std::string> lacking = {"a", "b"};
+  const std::string head = wire.encode_merged({}) +
+                           wire.encode_lacking(lacking) +
+                           "Content-Length: 0\r\n\r\n";
+  boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+  boost::beast::error_code error;
+  parser.put(boost::asio::buffer(head), error);
+  BOOST_REQUIRE(!error);
+  BOOST_TEST(wire.decode_reply(parser.get()).lacking == lacking,
+             boost::test_tools::per_element());
+}
+
 // Guards against signatures of a merged answer that get lost between lines.
 BOOST_AUTO_TEST_CASE(MergedAnswerNamesAllSignatures) {
   const RelayWire wire = platform::MakeRelayWire();
