--- a/test/platform_dialect_test.cc
+++ b/test/platform_dialect_test.cc
@@ -159,7 +159,9 @@
 BOOST_AUTO_TEST_CASE(LackingShardsAreReadBack) {
   const RelayWire wire = platform::MakeRelayWire();
   const std::vector<std::string> lacking = {"a", "b"};
-  const std::string head = wire.encode_merged({}) +
+  FanOutResult result;
+  result.signatures = {"s"};
+  const std::string head = wire.encode_merged(result) +
                            wire.encode_lacking(lacking) +
                            "Content-Length: 0\r\n\r\n";
   boost::beast::http::response_parser<boost::beast::http::string_body> parser;
