Let one host of a domain watch the store, at a pace that the limit for changes sets

Cause: a host that follows another's mirror learns of a change only after that host has noticed that the store no longer answers it, up to 6 s with a watch of 5 s, although a change must be in force within 3 to 6 s.

Change: one watcher a domain; pause and wait of its watch follow from the limit in the settings while others follow it; the first watch after a start of the whole system waits until the others have registered; renewals every 5 s.

--- a/src/core/mirror_choice.cc
+++ b/src/core/mirror_choice.cc
@@ -11,8 +11,9 @@
 
 namespace {
 
-// Hosts of a domain that watch the store for all of it; one may be lost.
-constexpr std::size_t kWatchersPerDomain = 2;
+// Hosts of a domain that watch the store for all of it. If one is lost, the
+// others watch themselves until they know of its successor.
+constexpr std::size_t kWatchersPerDomain = 1;
 // In smaller domains every host watches: a mirror would save few calls and add
 // its delay.
 constexpr std::size_t kSmallestMirrored = 5;
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -54,7 +54,9 @@
   settings.metrics_port = static_cast<std::uint32_t>(
       listen.Integer("metrics_port", 0, kMaxPort, 0));
   const detail::JsonReader store = reader.Child("store");
-  store.AllowOnly({"address", "mirrors"});
+  store.AllowOnly({"address", "mirrors", "change_limit_ms"});
+  settings.change_limit = std::chrono::milliseconds(
+      store.Integer("change_limit_ms", 1'000, kMaxSeconds * 1'000, 3'000));
   settings.store_address = ReadAddress(store, "address");
   if (store.Has("mirrors")) {
     settings.mirrors = ReadAddresses(store, "mirrors");
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -25,6 +25,8 @@
   std::string store_address;  ///< IP:port
   /// Copies of the store at other hosts, for a start without the store.
   std::vector<std::string> mirrors;
+  /// Time within which a change of the store must be in force.
+  std::chrono::milliseconds change_limit{3'000};
   std::chrono::seconds shutdown_time{6};
   double repeat_ratio = 0;
   double repeat_burst = 0;
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -1,5 +1,6 @@
 #include "src/relay/store_follower.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -10,8 +11,26 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // How often the choice between the store and a mirror is made again.
 constexpr std::chrono::seconds kChoiceInterval{1};
+// A lost store matters little to a host that serves itself only: others tell it
+// the news as soon as it notices.
+constexpr milliseconds kWaitForItself{5'000};
+constexpr milliseconds kPauseForItself{1'000};
+constexpr milliseconds kShortestWait{500};
+// Share of the limit within which other hosts learn of a change; the rest is
+// for slow hosts.
+constexpr double kUsableShareOfLimit = 0.8;
+// Share of that time for the pause between watches, in which changes gather.
+constexpr double kPauseShare = 0.25;
+// Beyond the pause and the wait: the grace after a wait, and the way of the
+// news.
+constexpr milliseconds kNoticeTime{1'300};
+// When all hosts start together, each reads the store before the others have
+// registered. After this time one call shows all of them.
+constexpr milliseconds kGathering{700};
 
 }  // namespace
 
@@ -45,9 +64,16 @@
   StoreWatch::Hooks hooks;
   hooks.on_snapshot = [this](const StorePage& page) {
     this->OnSnapshot(page);
+    this->ChooseSource();
     this->UpdateMirrorServer();
+    return this->hosts.InDomain(this->identity.failure_domain).empty()
+               ? kGathering
+               : milliseconds(0);
+  };
+  hooks.on_changes = [this](const StorePage& page) {
+    this->OnChanges(page);
+    this->ChooseSource();
   };
-  hooks.on_changes = [this](const StorePage& page) { this->OnChanges(page); };
   hooks.on_lost = [this] {
     this->UpdateMirrorServer();
     this->reader->Start();
@@ -108,6 +134,7 @@
 
 void StoreFollower::Sweep() {
   this->mirror_server.Sweep();
+  this->SetWatchPace();
   const TimePoint now = this->clock.Now();
   if (now >= this->next_choice) {
     this->next_choice = now + kChoiceInterval;
@@ -115,6 +142,22 @@
   }
 }
 
+// Hosts that follow this one are as late to notice that it has lost the store,
+// and must still learn of a change in time.
+void StoreFollower::SetWatchPace() {
+  if (this->mirror_server.waiting() == 0) {
+    this->watch->SetPace(kWaitForItself, kPauseForItself);
+    return;
+  }
+  const Duration usable = std::chrono::duration_cast<Duration>(
+      this->identity.change_limit * kUsableShareOfLimit);
+  const auto pause =
+      std::chrono::duration_cast<milliseconds>(usable * kPauseShare);
+  const auto wait =
+      std::chrono::duration_cast<milliseconds>(usable - pause - kNoticeTime);
+  this->watch->SetPace(std::clamp(wait, kShortestWait, kWaitForItself), pause);
+}
+
 void StoreFollower::ChooseSource() {
   if (!this->watch->synchronized() || this->watch->lost_contact()) {
     return;
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -28,6 +28,8 @@
     std::string failure_domain;
     /// Mirrors that are known without the store.
     std::vector<std::string> seed_mirrors;
+    /// Time within which a change must be in force at all hosts.
+    std::chrono::milliseconds change_limit{3'000};
   };
 
   StoreFollower(const RelayContext& context,
@@ -58,6 +60,7 @@
   std::string NextMirror();
   void ChooseSource();
   void UpdateMirrorServer();
+  void SetWatchPace();
   StoreWatch::Hooks WatchHooks();
   MirrorReader::Hooks ReaderHooks();
   void Apply(const StoreItem& item);
--- a/src/relay/store_registration.cc
+++ b/src/relay/store_registration.cc
@@ -11,8 +11,8 @@
 using std::chrono::milliseconds;
 
 // Three renewals may fail before the registration lapses.
-constexpr milliseconds kLifetime{12'000};
-constexpr milliseconds kRenewal{3'000};
+constexpr milliseconds kLifetime{18'000};
+constexpr milliseconds kRenewal{5'000};
 constexpr milliseconds kCallTimeout{1'500};
 constexpr int kStatusOk = 200;
 
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -42,8 +42,16 @@
       hooks(std::move(watch_hooks)),
       timer(relay_context.io),
       backoff(seed),
+      wait(kWatchWait),
+      longest_pause(kLongestPause),
       pause(kShortestPause) {}
 
+void StoreWatch::SetPace(std::chrono::milliseconds longest_wait,
+                         Duration longest) {
+  this->wait = longest_wait;
+  this->longest_pause = longest;
+}
+
 void StoreWatch::Start() {
   this->ReadPage();
 }
@@ -181,13 +189,16 @@
            {{"prefix", this->prefix},
             {"keys", all.items.size()},
             {"revision", this->revision}});
-  this->hooks.on_snapshot(all);
-  this->Watch();
+  const std::uint64_t before = this->round;
+  const Duration delay = this->hooks.on_snapshot(all);
+  if (this->round == before) {
+    this->After(delay, &StoreWatch::Watch);
+  }
 }
 
 void StoreWatch::Watch() {
-  this->Call(this->wire.encode_watch(this->prefix, this->revision, kWatchWait),
-             kWatchWait + kWatchGrace, "watch", &StoreWatch::OnWatch);
+  this->Call(this->wire.encode_watch(this->prefix, this->revision, this->wait),
+             this->wait + kWatchGrace, "watch", &StoreWatch::OnWatch);
 }
 
 void StoreWatch::OnWatch(const ExchangeResult& result) {
@@ -218,12 +229,15 @@
   std::erase_if(page.items, [this](const StoreItem& item) {
     return item.revision <= this->revision;
   });
-  this->hooks.on_changes(page);
   this->revision = std::max(this->revision, page.revision);
+  const std::uint64_t before = this->round;
+  this->hooks.on_changes(page);
   this->pause = page.items.empty()
                     ? kShortestPause
-                    : std::min<Duration>(this->pause * 2, kLongestPause);
-  this->After(this->pause, &StoreWatch::Watch);
+                    : std::min<Duration>(this->pause * 2, this->longest_pause);
+  if (this->round == before) {
+    this->After(this->pause, &StoreWatch::Watch);
+  }
 }
 
 }  // namespace auburnyard
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -22,8 +22,9 @@
 class StoreWatch : public std::enable_shared_from_this<StoreWatch> {
  public:
   struct Hooks {
-    /// All keys, in place of what was known.
-    std::function<void(const StorePage&)> on_snapshot;
+    /// All keys, in place of what was known. Returns the delay before the watch
+    /// for changes.
+    std::function<Duration(const StorePage&)> on_snapshot;
     std::function<void(const StorePage&)> on_changes;
     /// The store does not answer this host.
     std::function<void()> on_lost;
@@ -41,6 +42,9 @@
 
   void Start();
   void Stop();
+  /// Longest wait of a watch, which bounds how long it goes unnoticed that the
+  /// store no longer answers, and longest pause between watches.
+  void SetPace(std::chrono::milliseconds wait, Duration longest_pause);
   /// Makes no calls until Resume, which goes on from the known revision. Only
   /// while the store answers.
   void Pause();
@@ -75,6 +79,8 @@
   std::shared_ptr<HttpConnection> connection;
   boost::asio::steady_timer timer;
   Backoff backoff;
+  std::chrono::milliseconds wait;   // of a watch, for a change
+  Duration longest_pause;           // between watches
   Duration pause;                   // before the next watch
   std::vector<StoreItem> snapshot;  // pages read so far
   std::uint64_t snapshot_revision = 0;
--- a/test/store_watch_test.cc
+++ b/test/store_watch_test.cc
@@ -25,6 +25,7 @@
       for (const StoreItem& item : page.items) {
         this->known[item.key] = item.value;
       }
+      return Duration::zero();
     };
     hooks.on_changes = [this](const StorePage& page) {
       for (const StoreItem& item : page.items) {
