Join logs of hosts into the timeline of a request; check settings of relaying hosts

Metrics tell the age of what a host knows of the store, the version in force and the revision. Targets in the field lacking are separated by commas, so that they can be read back whatever their names hold.

--- a/src/cli/program.cc
+++ b/src/cli/program.cc
@@ -18,9 +18,9 @@
 
 // New subcommands are added here.
 std::vector<Command> AllCommands() {
-  return {QueryCommand(),   IntentCommand(),       PlanCommand(),
-          ConfirmCommand(), StatusCommand(),       ExplainCommand(),
-          ReplayCommand(),  CheckSettingsCommand()};
+  return {QueryCommand(),   IntentCommand(),        PlanCommand(),
+          ConfirmCommand(), StatusCommand(),        ExplainCommand(),
+          ReplayCommand(),  CheckSettingsCommand(), LogCommand()};
 }
 
 std::vector<OptionSpec> CommonOptions() {
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -348,6 +348,7 @@
     ++described;
     text += (text.empty() ? "" : " ") + std::string(part.service) + ":";
     for (const Attempt& attempt : part.attempts) {
+      text += &attempt == part.attempts.data() ? "" : ",";
       text += attempt.target->entry().id + (attempt.sent ? "+" : "-");
     }
   }
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -113,6 +113,11 @@
     this->metrics_server = std::make_shared<HttpServer>(
         this->io, HttpServerLimits(),
         [this](const HttpRequest&, const HttpResponder& respond) {
+          const auto& routes = this->service.routes();
+          this->metrics.SetKnowledge(
+              this->clock.Now() - this->follower.last_contact(),
+              routes == nullptr ? 0 : routes->version(),
+              this->follower.revision());
           respond({.body = this->metrics.Render(),
                    .content_type = std::string(MetricsRegistry::kContentType)});
         });
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -34,7 +34,17 @@
       fan_out_latency(
           this->all.Histogram(kLatency, kLatencyHelp, {{"route", "fan_out"}})),
       single_latency(
-          this->all.Histogram(kLatency, kLatencyHelp, {{"route", "single"}})) {}
+          this->all.Histogram(kLatency, kLatencyHelp, {{"route", "single"}})),
+      knowledge_age(
+          this->all.Gauge("auburnyard_relay_knowledge_age_seconds",
+                          "Age of the last answer of the store or of a mirror.",
+                          {})),
+      version(this->all.Gauge("auburnyard_relay_configuration_version",
+                              "Version in force.",
+                              {})),
+      revision(this->all.Gauge("auburnyard_relay_store_revision",
+                               "Revision up to which changes are known.",
+                               {})) {}
 
 void RelayMetrics::CountAnswer(bool is_complete) {
   (is_complete ? this->complete : this->partial).Add();
@@ -59,6 +69,14 @@
   (fans_out ? this->fan_out_latency : this->single_latency).Observe(latency);
 }
 
+void RelayMetrics::SetKnowledge(Duration age,
+                                std::uint64_t in_force,
+                                std::uint64_t known) {
+  this->knowledge_age.Set(std::chrono::duration<double>(age).count());
+  this->version.Set(static_cast<double>(in_force));
+  this->revision.Set(static_cast<double>(known));
+}
+
 void RelayMetrics::CountStoreCall(std::string_view kind, bool success) {
   this->all
       .Counter("auburnyard_relay_store_calls_total",
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -18,6 +18,11 @@
   void CountRepeat(AttemptPurpose purpose, bool granted);
   void ObserveRequest(bool fans_out, Duration latency);
   void CountStoreCall(std::string_view kind, bool success);
+  /// Age of the last answer of the store or of a mirror, the version in force
+  /// and the revision up to which changes are known.
+  void SetKnowledge(Duration age,
+                    std::uint64_t version,
+                    std::uint64_t revision);
   std::string Render() const { return this->all.Render(); }
 
  private:
@@ -30,6 +35,9 @@
   MetricCounter& hedges_denied;
   LatencyHistogram& fan_out_latency;
   LatencyHistogram& single_latency;
+  MetricGauge& knowledge_age;
+  MetricGauge& version;
+  MetricGauge& revision;
 };
 
 }  // namespace auburnyard
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -213,6 +213,9 @@
   if (whole && page.revision < this->mirror.revision()) {
     return;
   }
+  if (page.direct) {
+    this->mirror_contact = this->clock.Now();
+  }
   if (this->followed.empty() || !page.direct) {
     this->targets.HoldRemovals();
   }
@@ -231,6 +234,10 @@
   this->watch->Advance(page.revision);
 }
 
+TimePoint StoreFollower::last_contact() const {
+  return std::max(this->watch->last_contact(), this->mirror_contact);
+}
+
 bool StoreFollower::synchronized() const {
   return this->service.routes() != nullptr && this->targets.size() > 0;
 }
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -50,6 +50,9 @@
   /// Sends those hosts elsewhere, before this one ends.
   void StopMirroring();
   void Sweep();
+  /// When the store or a mirror last answered.
+  TimePoint last_contact() const;
+  std::uint64_t revision() const { return this->mirror.revision(); }
   /// Routes and registrations were read at least once.
   bool synchronized() const;
 
@@ -79,6 +82,7 @@
   std::mt19937_64 random;
   std::string followed;  // mirror in place of the watch; may be empty
   TimePoint next_choice{};
+  TimePoint mirror_contact{};
   bool leaving = false;
   std::shared_ptr<StoreWatch> watch;
   std::shared_ptr<MirrorReader> reader;
--- a/test/cli_test.cc
+++ b/test/cli_test.cc
@@ -94,7 +94,10 @@
       {{"query", "q"}, "--service is required"},
       {{"query", "q", "--service=s", "--once"}, "request_id"},
       {{"query", "q", "--service=s", "--min-coverage=2"}, "min_coverage"},
-      {{"check-settings", "/absent"}, "/absent: cannot be read"}};
+      {{"check-settings", "/absent"}, "/absent: cannot be read"},
+      {{"check-settings", "--relay", "/absent"}, "/absent: cannot be read"},
+      {{"log", "/absent"}, "--request is required"},
+      {{"log", "--request=r", "/absent"}, "/absent: cannot be read"}};
   for (const Case& row : cases) {
     const Outcome outcome = RunCli(row.words);
     BOOST_TEST(outcome.code == 2);
@@ -107,7 +110,7 @@
 BOOST_AUTO_TEST_CASE(HelpAndVersion) {
   const std::string help = RunCli({"--help"}).out;
   for (const char* const word :
-       {"query", "intent", "plan", "confirm", "status", "check-settings",
+       {"query", "intent", "plan", "confirm", "status", "check-settings", "log",
         "--key-file", "conflict", "unauthorized", "internal"}) {
     BOOST_TEST(help.find(word) != std::string::npos);
   }
