--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -17,6 +17,9 @@
 // Beyond the wait of a watch: a round trip and a slow answer.
 constexpr milliseconds kWatchGrace{1'000};
 constexpr std::chrono::seconds kProbeInterval{1};
+// A host that knows nothing refuses all callers, so that it asks again soon. A
+// store that answers 60 times slower than usual takes a quarter of a second.
+constexpr milliseconds kFirstReadTimeout{600};
 constexpr milliseconds kReadTimeout{2'000};
 // Pause between watches, so that changes that come close together are fetched
 // by one call. It doubles while changes go on, and stays well below the time
@@ -29,6 +32,18 @@
 
 }  // namespace
 
+namespace detail {
+
+Duration ReadTimeout(std::size_t failures) {
+  Duration timeout = kFirstReadTimeout;
+  for (std::size_t i = 0; i < failures && timeout < kReadTimeout; ++i) {
+    timeout *= 2;
+  }
+  return std::min<Duration>(timeout, kReadTimeout);
+}
+
+}  // namespace detail
+
 StoreWatch::StoreWatch(const RelayContext& relay_context,
                        const StoreWire& store_wire,
                        HostPort store_address,
@@ -145,11 +160,13 @@
   const std::string after =
       this->snapshot.empty() ? std::string() : this->snapshot.back().key;
   this->Call(this->wire.encode_range(this->prefix, after, this->cheap_read),
-             kReadTimeout, "range", &StoreWatch::OnPage);
+             detail::ReadTimeout(this->failed_reads), "range",
+             &StoreWatch::OnPage);
 }
 
 void StoreWatch::OnPage(const ExchangeResult& result) {
   if (!result.error.empty() || result.response.status != kStatusOk) {
+    ++this->failed_reads;
     this->RetryLater("range", result.error.empty()
                                   ? std::to_string(result.response.status)
                                   : result.error);
@@ -174,6 +191,7 @@
     this->ReadPage();
     return;
   }
+  this->failed_reads = 0;
   this->has_snapshot = true;
   this->cheap_read = true;
   const StorePage all = {.items = std::move(this->snapshot),
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -16,6 +16,13 @@
 
 namespace auburnyard {
 
+namespace detail {
+
+/// How long a read of all keys waits for an answer after failed ones.
+Duration ReadTimeout(std::size_t failures);
+
+}  // namespace detail
+
 /// Follows all keys with one prefix: reads them, then watches for changes, and
 /// reads again after lost history. Knows for how long the store has not
 /// answered.
@@ -89,7 +96,8 @@
   bool cheap_read = true;  // the history still reaches back far enough
   bool lost = false;
   bool stopped = false;
-  std::uint64_t round = 0;  // answers to calls of earlier ones are ignored
+  std::size_t failed_reads = 0;  // since the last complete read
+  std::uint64_t round = 0;       // answers to calls of earlier ones are ignored
   TimePoint contact_at{};
 };
 
--- a/test/store_watch_test.cc
+++ b/test/store_watch_test.cc
@@ -115,6 +115,26 @@
   BOOST_TEST(world.snapshots >= 2);
 }
 
+// Guards against a host that starts while the store is silent and waits for the
+// first answer long after the store has returned, and against time-outs that a
+// slow store never meets.
+BOOST_AUTO_TEST_CASE(FirstReadsTimeOutSoon) {
+  BOOST_TEST(detail::ReadTimeout(0) <= std::chrono::milliseconds(700));
+  for (std::size_t failures = 1; failures < 10; ++failures) {
+    BOOST_TEST(detail::ReadTimeout(failures) >=
+               detail::ReadTimeout(failures - 1));
+  }
+  BOOST_TEST(detail::ReadTimeout(9) == std::chrono::seconds(2));
+  WatchFixture world;
+  world.store.SetFault(util::StoreFault::kSilent);
+  world.store.Put("a", "1");
+  world.Start();
+  BOOST_TEST(world.Eventually(
+      [&world] { return world.store.calls("/kv-range") >= 2; }));
+  world.store.SetFault(util::StoreFault::kNone);
+  BOOST_TEST(world.Eventually([&world] { return world.known["a"] == "1"; }));
+}
+
 // Guards against old knowledge after an outage, and against an outage that
 // empties what is known.
 BOOST_AUTO_TEST_CASE(OutageKeepsKnowledgeAndEndsWithNews) {
