--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "auburnyard/error.h"
+#include "auburnyard/loss_cause.h"
 #include "auburnyard/reason.h"
 #include "auburnyard/record_merger.h"
 #include "auburnyard/route.h"
@@ -132,12 +133,16 @@
   /// Services of missing parts with the targets that were tried, for logs.
   /// Lists a bounded number of parts.
   std::string DescribeMissing() const;
+  /// Parts by the cause for which the answer lacks them or, if it had to wait
+  /// for them, for which they were missing at the latency objective.
+  const LossCounts& losses() const { return this->loss_counts; }
 
  private:
   struct Attempt {
     TargetPtr target;
     bool sent = false;
     bool open = true;
+    std::optional<PartFailure> failure;  // how it ended, unless by a reply
   };
   struct Bundle;
   struct Part {
@@ -163,6 +168,7 @@
     bool open = true;
     bool sent = false;
     bool split = false;  // its parts are fetched directly
+    bool answered = false;
   };
 
   void StartBundles();
@@ -190,6 +196,10 @@
   bool MayRepeat(const Part& part) const;
   void Settle(Part& part);
   void CheckProgress(TimePoint now);
+  /// Counts the causes of the parts that are missing now.
+  void CountLosses(TimePoint now);
+  static LossCause CauseOf(const Part& part, TimePoint now);
+  static LossCause CauseOf(const Attempt& attempt, TimePoint now);
   bool AnyAnswered() const;
   /// Answers with the parts received so far.
   void FinishMerged();
@@ -210,6 +220,8 @@
   std::size_t parts_missing_from_bundles = 0;  // still open
   std::uint32_t started_repeats = 0;
   bool no_target = false;  // a part failed because no target was available
+  LossCounts loss_counts{};
+  bool losses_counted = false;
   bool done = false;
 };
 
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -144,6 +144,7 @@
   Part& part = this->parts[id.part];
   Attempt& attempt = part.attempts[id.attempt];
   attempt.open = false;
+  attempt.failure = failure;
   if (attempt.sent && failure == PartFailure::kRefused) {
     --part.executions;
   }
@@ -187,6 +188,7 @@
     return;
   }
   if (!this->request_plan.route->fans_out()) {
+    this->CountLosses(now);
     if (part.failure) {
       this->FinishReply(std::move(*part.failure));
     } else {
@@ -221,10 +223,14 @@
   if (this->done) {
     return;
   }
+  if (now >= this->request_plan.answer_by) {
+    this->CountLosses(now);
+  }
   const bool coverage_unreachable =
       this->request_plan.partial ? this->open_parts == 0 && !this->AnyAnswered()
                                  : this->failed_parts > this->AllowedMissing();
   if (coverage_unreachable) {
+    this->CountLosses(now);
     this->FinishRefusal(this->no_target ? ErrorKind::kNoCapacity
                                         : ErrorKind::kCoverageTooLow);
     return;
@@ -233,6 +239,7 @@
   const bool enough = missing <= this->AllowedMissing();
   if (this->open_parts == 0 ||
       (enough && now >= this->request_plan.answer_by)) {
+    this->CountLosses(now);
     this->FinishMerged();
   } else if (now >= this->request_plan.deadline) {
     if (this->request_plan.partial && this->AnyAnswered()) {
@@ -255,6 +262,7 @@
   if (this->request_plan.route->fans_out()) {
     this->CheckProgress(now);
   } else if (now >= this->request_plan.deadline) {
+    this->CountLosses(now);
     this->FinishRefusal(ErrorKind::kDeadlineExceeded);
   }
   for (std::uint32_t i = 0; i < this->parts.size() && !this->done; ++i) {
@@ -272,9 +280,10 @@
 TimePoint FanOut::NextTimer() const {
   TimePoint next = this->request_plan.deadline;
   const std::size_t missing = this->failed_parts + this->open_parts;
-  if (this->parts_missing_from_bundles > 0 ||
-      (this->request_plan.route->fans_out() &&
-       missing <= this->AllowedMissing())) {
+  const bool answer_due = missing <= this->AllowedMissing() ||
+                          this->parts_missing_from_bundles > 0 ||
+                          !this->losses_counted;
+  if (this->request_plan.route->fans_out() && answer_due) {
     next = std::min(next, this->request_plan.answer_by);
   }
   for (const Part& part : this->parts) {
--- a/src/core/fan_out_bundles.cc
+++ b/src/core/fan_out_bundles.cc
@@ -87,6 +87,7 @@
     return;
   }
   bundle.open = false;
+  bundle.answered = true;
   if (this->done) {
     return;
   }
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -65,6 +65,19 @@
   }
 }
 
+void RelayMetrics::CountLosses(const LossCounts& losses) {
+  for (std::size_t i = 0; i < losses.size(); ++i) {
+    if (losses.at(i) > 0) {
+      this->all
+          .Counter(
+              "auburnyard_relay_lost_parts_total",
+              "Parts that were missing at the objective, by cause.",
+              {{"cause", std::string(ToString(static_cast<LossCause>(i)))}})
+          .Add(losses.at(i));
+    }
+  }
+}
+
 void RelayMetrics::ObserveRequest(bool fans_out, Duration latency) {
   (fans_out ? this->fan_out_latency : this->single_latency).Observe(latency);
 }
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "auburnyard/fan_out.h"
+#include "auburnyard/loss_cause.h"
 #include "src/net/metrics_registry.h"
 
 namespace auburnyard {
@@ -17,6 +18,8 @@
   void CountRefusal(std::string_view kind);
   void CountRepeat(AttemptPurpose purpose, bool granted);
   void ObserveRequest(bool fans_out, Duration latency);
+  /// Counts missing parts by cause.
+  void CountLosses(const LossCounts& losses);
   void CountStoreCall(std::string_view kind, bool success);
   /// Sets the age of the last answer of the store or of a mirror, the
   /// configuration version in force, and the store revision up to which changes
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/json/object.hpp>
+
 #include "src/net/log.h"
 
 namespace auburnyard {
@@ -39,6 +41,16 @@
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusGatewayTimeout = 504;
 
+boost::json::object DescribeLosses(const LossCounts& losses) {
+  boost::json::object parts;
+  for (std::size_t i = 0; i < losses.size(); ++i) {
+    if (losses.at(i) > 0) {
+      parts[ToString(static_cast<LossCause>(i))] = losses.at(i);
+    }
+  }
+  return parts;
+}
+
 }  // namespace
 
 RelayService::RelayService(const RelayContext& relay_context,
@@ -335,6 +347,7 @@
   } else {
     this->metrics.CountAnswer(result.missing_parts == 0);
   }
+  this->metrics.CountLosses(request.fan_out().losses());
   const bool failed =
       result.kind == FanOutResult::Kind::kRefusal ||
       (result.kind == FanOutResult::Kind::kReply && !result.reply.success());
@@ -369,6 +382,9 @@
             {"run", ToString(result.run)},
             {"target_status", result.reply.status},
             {"missing", result.missing_parts},
+            {"parts", request.fan_out().plan().services.size()},
+            {"causes", DescribeLosses(request.fan_out().losses())},
+            {"objective_ms", job.route->latency_objective.count()},
             {"lacking", request.fan_out().DescribeMissing()},
             {"repeats", request.fan_out().repeats()},
             {"latency_ms", ToMilliseconds(latency)},
--- a/test/cli_test.cc
+++ b/test/cli_test.cc
@@ -97,6 +97,8 @@
       {{"check-settings", "/absent"}, "/absent: cannot be read"},
       {{"check-settings", "--relay", "/absent"}, "/absent: cannot be read"},
       {{"log", "/absent"}, "--request is required"},
+      {{"log", "--losses", "--request=r", "/absent"}, "exclude each other"},
+      {{"log", "--losses", "/absent"}, "/absent: cannot be read"},
       {{"log", "--request=r", "/absent"}, "/absent: cannot be read"}};
   for (const Case& row : cases) {
     const CliResult outcome = RunCli(row.args);
