Close connections with abandoned exchanges early but for the oldest

Cause: a host has three connections to a target. While the target pauses, all three hold exchanges whose result is no longer needed, for up to 350 ms, and the target runs them afterwards.

Ruled out: more connections.

Change: an abandoned exchange is closed after 30 ms unless it is the oldest one at the target, whose reply shows that the target replies again.

--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -22,6 +22,10 @@
 // can be reused. Targets must not work on a request half a second after the
 // caller disconnected.
 constexpr milliseconds kLinger{350};
+// Further connections with abandoned exchanges are closed after this time, so
+// that they are available to other requests and the target drops the work. The
+// reply to the oldest exchange shows when the target replies again.
+constexpr milliseconds kShortLinger{30};
 constexpr int kFirstServerError = 500;
 // Time to read the request and to write the reply of a bundle, on both hosts.
 constexpr milliseconds kBundleHandling{4};
@@ -288,16 +292,29 @@
   if (due != TimePoint::max() && now > due + kLateAnswerMargin) {
     this->state->OnAbandoned(connection.sent_at());
     this->state->OnUnreachable(now);
-  } else if (this->linger == Duration::zero() && lingered) {
+  } else if (lingered &&
+             (this->linger == Duration::zero() ||
+              now - connection.exchange()->abandoned_at < this->linger)) {
     this->state->OnAbandoned(connection.sent_at());
   } else {
     this->state->OnFailed(connection.sent_at(), now);
   }
 }
 
+TimePoint TargetPool::OldestSent() const {
+  TimePoint oldest = TimePoint::max();
+  for (const TargetConnectionPtr& connection : this->all) {
+    if (connection->busy()) {
+      oldest = std::min(oldest, connection->sent_at());
+    }
+  }
+  return oldest;
+}
+
 void TargetPool::Sweep() {
   const TimePoint now = this->context.clock.Now();
   const std::vector<TargetConnectionPtr> present = this->all;
+  const TimePoint oldest_sent = this->OldestSent();
   for (const TargetConnectionPtr& connection : present) {
     const Duration age = now - connection->since();
     if (connection->connecting()) {
@@ -307,8 +324,12 @@
       }
     } else if (connection->busy()) {
       const TargetExchangePtr& exchange = connection->exchange();
+      const Duration allowed =
+          connection->sent_at() > oldest_sent
+              ? std::min<Duration>(this->linger, kShortLinger)
+              : this->linger;
       const bool lingered = exchange->ended && exchange->request->idempotent &&
-                            now - exchange->abandoned_at >= this->linger;
+                            now - exchange->abandoned_at >= allowed;
       if (now > exchange->request->deadline + kLinger || lingered) {
         this->CountLateExchange(*connection, lingered, now);
         connection->Close();
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -67,6 +67,8 @@
   void OnConnected(const TargetConnectionPtr& connection, bool success);
   void OnEnd(const TargetConnectionPtr& connection, ExchangeEnd end);
   void Remove(const TargetConnectionPtr& connection);
+  /// Time at which the oldest exchange in progress was sent; max if none.
+  TimePoint OldestSent() const;
   void CountLateExchange(const TargetConnection& connection,
                          bool lingered,
                          TimePoint now);
