Count the wait for an own connection in the cost of a target

Cause: Cost counted the requests in flight and not those that wait in the host's own pool, so that parts were placed behind a full pool while another target was free.

Change: if all connections of the host are in use, the cost rises by the expected time until one is free.

--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -45,6 +45,12 @@
   void OnUnreachable(TimePoint now);
   /// An exchange ended for a reason unrelated to the target.
   void OnAbandoned(TimePoint sent_at);
+  /// Sets how many requests of this host wait for one of its `limit`
+  /// connections to the target.
+  void SetWaiting(std::size_t count, std::size_t limit) {
+    this->waiting = count;
+    this->connection_limit = limit;
+  }
   void OnLoad(const LoadReport& report, TimePoint now);
   void SetColdUntil(TimePoint until) { this->cold_until_time = until; }
   TimePoint cold_until() const { return this->cold_until_time; }
@@ -59,6 +65,8 @@
   bool Stalled(TimePoint now) const;
 
  private:
+  /// Expected time until a connection of this host is free.
+  Duration ConnectionWait(TimePoint now) const;
   void Remove(TimePoint sent_at);
   void CountOutcome(bool failed, TimePoint now);
   double FailureShare(TimePoint now) const;
@@ -68,6 +76,8 @@
   LatencyEstimate latency_estimate;
   Duration min_connect_time = Duration::max();
   std::vector<TimePoint> sent_times;  // of the requests in flight
+  std::size_t waiting = 0;
+  std::size_t connection_limit = 0;  // 0: not known
   std::optional<LoadReport> load;
   TimePoint load_reported_at{};
   TimePoint cold_until_time{};
--- a/src/core/target_state.cc
+++ b/src/core/target_state.cc
@@ -142,6 +142,16 @@
   return now - oldest > this->latency_estimate.Upper(now) + kStallMargin;
 }
 
+Duration TargetState::ConnectionWait(TimePoint now) const {
+  const std::size_t ahead = this->sent_times.size() + this->waiting;
+  if (this->connection_limit == 0 || ahead < this->connection_limit) {
+    return Duration::zero();
+  }
+  return this->latency_estimate.Mean(now) *
+         static_cast<int>(ahead - this->connection_limit + 1) /
+         static_cast<int>(this->connection_limit);
+}
+
 Duration TargetState::Cost(TimePoint now) const {
   Duration cost = this->latency_estimate.Mean(now);
   const Duration execution =
@@ -157,6 +167,7 @@
     cost += execution * static_cast<int>(requests_ahead - slots + 1) /
             static_cast<int>(slots);
   }
+  cost += this->ConnectionWait(now);
   if (this->Stalled(now)) {
     cost += kStallCost;
   }
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -79,6 +79,7 @@
         return other->request->priority > exchange->request->priority;
       });
   this->waiting.insert(position, std::move(exchange));
+  this->UpdateWaiting();
   asio::post(this->context.io,
              [self = this->shared_from_this()] { self->DispatchWaiting(); });
 }
@@ -89,6 +90,7 @@
       std::find(this->waiting.begin(), this->waiting.end(), exchange);
   if (queued != this->waiting.end()) {
     this->waiting.erase(queued);
+    this->UpdateWaiting();
   }
 }
 
@@ -127,6 +129,7 @@
     }
     this->Dispatch(connection, std::move(work));
   }
+  this->UpdateWaiting();
   const auto connecting = static_cast<std::size_t>(
       std::count_if(this->all.begin(), this->all.end(),
                     [](const TargetConnectionPtr& connection) {
@@ -236,9 +239,14 @@
   this->DispatchWaiting();
 }
 
+void TargetPool::UpdateWaiting() {
+  this->state->SetWaiting(this->waiting.size(), this->connection_limit);
+}
+
 void TargetPool::FailWaiting(PartFailure failure) {
   const std::deque<TargetExchangePtr> failed = std::move(this->waiting);
   this->waiting.clear();
+  this->UpdateWaiting();
   for (const TargetExchangePtr& exchange : failed) {
     exchange->Fail(failure);
   }
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -72,6 +72,8 @@
   void CountLateExchange(const TargetConnection& connection,
                          bool lingered,
                          TimePoint now);
+  /// Reports the number of waiting exchanges to the target's state.
+  void UpdateWaiting();
   void FailWaiting(PartFailure failure);
 
   const RelayContext& context;
