Estimate the work of each kind of request and the slowdown of each target

Cause: one latency estimate for each target over kinds whose work differs by a factor of three. The hedge of the short kind came at 64 to 82 ms of an objective of 110, too late for its reply; a stall was noticed equally late.

Change: a host learns the usual time of each kind of request over all targets, and for each target a factor on it. Routes with the same objective and number of records are one kind. An outdated slowdown is verified by one request at a time, where every request of a second used to go to the slow target.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -75,6 +76,8 @@
   /// Parts that are first requested in bundles and not by attempts of this
   /// host.
   std::vector<PartBundle> bundles;
+  /// Estimate for the kind of request; null: not known.
+  std::shared_ptr<WorkEstimate> work;
   TimePoint arrival{};
   /// The answer is a bundle for another host, so that any coverage is useful.
   /// The minimum coverage of the route only decides how long to wait.
--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -8,6 +8,7 @@
 #include "auburnyard/latency_estimate.h"
 #include "auburnyard/load_report.h"
 #include "auburnyard/target_entry.h"
+#include "auburnyard/work_estimate.h"
 
 namespace auburnyard {
 
@@ -30,13 +31,14 @@
   const LatencyEstimate& latency() const { return this->latency_estimate; }
   /// Network round-trip time; at most the minimum latency observed.
   Duration RoundTrip() const;
-  std::size_t in_flight() const { return this->sent_times.size(); }
+  std::size_t in_flight() const { return this->sent_requests.size(); }
 
   /// A connection was established, which takes at least one round trip.
   void OnConnected(Duration took);
-  void OnSent(TimePoint now);
+  void OnSent(TimePoint now, const WorkEstimate* work = nullptr);
   /// An exchange that was sent at `sent_at` ended with a complete reply.
-  void OnReply(TimePoint sent_at, TimePoint now);
+  /// `work` learns from it.
+  void OnReply(TimePoint sent_at, TimePoint now, WorkEstimate* work = nullptr);
   /// The target refused a request without running it.
   void OnRefused(TimePoint sent_at, TimePoint now);
   /// An exchange ended without a usable reply, or with a failure.
@@ -45,6 +47,8 @@
   void OnUnreachable(TimePoint now);
   /// An exchange ended for a reason unrelated to the target.
   void OnAbandoned(TimePoint sent_at);
+  /// The same; the reply would have come later than `now`.
+  void OnAbandoned(TimePoint sent_at, TimePoint now, const WorkEstimate* work);
   /// Sets how many requests of this host wait for one of its `limit`
   /// connections to the target.
   void SetWaiting(std::size_t count, std::size_t limit) {
@@ -56,15 +60,27 @@
   TimePoint cold_until() const { return this->cold_until_time; }
   bool Cold(TimePoint now) const { return now < this->cold_until_time; }
 
-  /// Expected time to the reply for a request sent now, plus penalties for
-  /// conditions that make a reply unlikely.
-  Duration Cost(TimePoint now) const;
+  /// Expected time to the reply for a request sent now. `work` is the estimate
+  /// for its kind, null if the kind is not distinguished.
+  Duration Expected(TimePoint now, const WorkEstimate* work = nullptr) const;
+  /// Time after which a reply is later than usual.
+  Duration Upper(TimePoint now, const WorkEstimate* work = nullptr) const;
+  /// Expected time to the reply, plus penalties for conditions that make a
+  /// reply unlikely.
+  Duration Cost(TimePoint now, const WorkEstimate* work = nullptr) const;
   /// Whether the target is excluded after failures.
   bool Avoided(TimePoint now) const { return now < this->avoid_until; }
   /// Whether a request in flight has waited much longer than usual.
   bool Stalled(TimePoint now) const;
 
  private:
+  struct SentRequest {
+    TimePoint sent_at{};
+    TimePoint late_at{};  // a reply is later than usual from now on
+  };
+
+  double Slowdown(TimePoint now) const;
+  void AddSlowdown(Duration latency, TimePoint now, const WorkEstimate& work);
   /// Expected time until a connection of this host is free.
   Duration ConnectionWait(TimePoint now) const;
   void Remove(TimePoint sent_at);
@@ -75,7 +91,10 @@
   Distance location;
   LatencyEstimate latency_estimate;
   Duration min_connect_time = Duration::max();
-  std::vector<TimePoint> sent_times;  // of the requests in flight
+  std::vector<SentRequest> sent_requests;  // in flight
+  // Time at the target as a multiple of what is usual for the kind of request.
+  double slowdown = 1;
+  TimePoint slowdown_updated{};
   std::size_t waiting = 0;
   std::size_t connection_limit = 0;  // 0: not known
   std::optional<LoadReport> load;
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -79,8 +79,9 @@
   if (!this->request_plan.route->idempotent) {
     return;
   }
-  const Duration mean = target->latency().Mean(now);
-  const TimePoint usual = now + target->latency().Upper(now);
+  const WorkEstimate* work = this->request_plan.work.get();
+  const Duration mean = target->Expected(now, work);
+  const TimePoint usual = now + target->Upper(now, work);
   const TimePoint latest = this->request_plan.answer_by - mean;
   const TimePoint earliest =
       now + std::max<Duration>(mean + mean / 4, kMinHedgeDelay);
--- a/src/core/target_state.cc
+++ b/src/core/target_state.cc
@@ -33,6 +33,12 @@
 // Half-life of the failure share while there are no further outcomes.
 constexpr milliseconds kFailureHalfLife{1'500};
 constexpr double kOutcomeWeight = 0.25;
+// A slowdown is expected to last this long after the last observation.
+constexpr std::chrono::seconds kSlowdownValidity{2};
+constexpr double kSlowdownWeight = 0.1;
+constexpr double kMaxSlowdown = 20;
+// A reply of a slower target counts as late nevertheless.
+constexpr double kMaxUsualSlowdown = 2;
 // Requests run at least this long.
 constexpr milliseconds kMinExecution{1};
 
@@ -68,13 +74,57 @@
   return std::min(this->min_connect_time, this->latency_estimate.Floor());
 }
 
-void TargetState::OnSent(TimePoint now) {
-  this->sent_times.push_back(now);
+double TargetState::Slowdown(TimePoint now) const {
+  // An outdated slowdown is verified by one request at a time.
+  const bool outdated = now - this->slowdown_updated > kSlowdownValidity &&
+                        this->sent_requests.empty();
+  return outdated ? std::min(this->slowdown, 1.0) : this->slowdown;
 }
 
-void TargetState::OnReply(TimePoint sent_at, TimePoint now) {
+void TargetState::AddSlowdown(Duration latency,
+                              TimePoint now,
+                              const WorkEstimate& work) {
+  const double observed =
+      std::clamp(std::chrono::duration<double>(latency - this->RoundTrip()) /
+                     std::chrono::duration<double>(work.Mean()),
+                 0.0, kMaxSlowdown);
+  if (now - this->slowdown_updated > kSlowdownValidity) {
+    this->slowdown = std::min(this->slowdown, 1.0);
+  }
+  this->slowdown += (observed - this->slowdown) * kSlowdownWeight;
+  this->slowdown_updated = now;
+}
+
+Duration TargetState::Expected(TimePoint now, const WorkEstimate* work) const {
+  if (work == nullptr || !work->known()) {
+    return this->latency_estimate.Mean(now);
+  }
+  return this->RoundTrip() + Scaled(work->Mean(), this->Slowdown(now));
+}
+
+Duration TargetState::Upper(TimePoint now, const WorkEstimate* work) const {
+  if (work == nullptr || !work->known()) {
+    return this->latency_estimate.Upper(now);
+  }
+  return this->RoundTrip() +
+         Scaled(work->Upper(),
+                std::clamp(this->Slowdown(now), 1.0, kMaxUsualSlowdown));
+}
+
+void TargetState::OnSent(TimePoint now, const WorkEstimate* work) {
+  this->sent_requests.push_back(
+      {now, now + this->Upper(now, work) + kStallMargin});
+}
+
+void TargetState::OnReply(TimePoint sent_at,
+                          TimePoint now,
+                          WorkEstimate* work) {
   this->Remove(sent_at);
   this->latency_estimate.Add(now - sent_at, now);
+  if (work != nullptr) {
+    work->Add(now - sent_at - this->RoundTrip());
+    this->AddSlowdown(now - sent_at, now, *work);
+  }
   this->consecutive_failures = 0;
   this->avoid_until = {};
   this->CountOutcome(false, now);
@@ -106,17 +156,28 @@
   this->Remove(sent_at);
 }
 
+void TargetState::OnAbandoned(TimePoint sent_at,
+                              TimePoint now,
+                              const WorkEstimate* work) {
+  if (work != nullptr && work->known() &&
+      now - sent_at > this->Expected(now, work)) {
+    this->AddSlowdown(now - sent_at, now, *work);
+  }
+  this->Remove(sent_at);
+}
+
 void TargetState::OnLoad(const LoadReport& report, TimePoint now) {
   this->load = report;
   this->load_reported_at = now;
 }
 
 void TargetState::Remove(TimePoint sent_at) {
-  const auto found =
-      std::find(this->sent_times.begin(), this->sent_times.end(), sent_at);
-  if (found != this->sent_times.end()) {
-    *found = this->sent_times.back();
-    this->sent_times.pop_back();
+  const auto found = std::find_if(
+      this->sent_requests.begin(), this->sent_requests.end(),
+      [sent_at](const SentRequest& sent) { return sent.sent_at == sent_at; });
+  if (found != this->sent_requests.end()) {
+    *found = this->sent_requests.back();
+    this->sent_requests.pop_back();
   }
 }
 
@@ -134,16 +195,13 @@
 }
 
 bool TargetState::Stalled(TimePoint now) const {
-  if (this->sent_times.empty()) {
-    return false;
-  }
-  const TimePoint oldest =
-      *std::min_element(this->sent_times.begin(), this->sent_times.end());
-  return now - oldest > this->latency_estimate.Upper(now) + kStallMargin;
+  return std::any_of(
+      this->sent_requests.begin(), this->sent_requests.end(),
+      [now](const SentRequest& sent) { return now > sent.late_at; });
 }
 
 Duration TargetState::ConnectionWait(TimePoint now) const {
-  const std::size_t ahead = this->sent_times.size() + this->waiting;
+  const std::size_t ahead = this->sent_requests.size() + this->waiting;
   if (this->connection_limit == 0 || ahead < this->connection_limit) {
     return Duration::zero();
   }
@@ -152,11 +210,12 @@
          static_cast<int>(this->connection_limit);
 }
 
-Duration TargetState::Cost(TimePoint now) const {
-  Duration cost = this->latency_estimate.Mean(now);
-  const Duration execution =
-      std::max<Duration>(cost - this->latency_estimate.Floor(), kMinExecution);
-  std::size_t requests_ahead = this->sent_times.size();
+Duration TargetState::Cost(TimePoint now, const WorkEstimate* work) const {
+  Duration cost = this->Expected(now, work);
+  const Duration execution = std::max<Duration>(
+      this->latency_estimate.Mean(now) - this->latency_estimate.Floor(),
+      kMinExecution);
+  std::size_t requests_ahead = this->sent_requests.size();
   std::uint32_t slots = std::max(1U, this->registration.slots);
   if (this->load && now - this->load_reported_at < kLoadReportValidity) {
     requests_ahead = std::max<std::size_t>(
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -95,6 +95,15 @@
   }
 }
 
+const std::shared_ptr<WorkEstimate>& RelayService::WorkOf(const Route& route) {
+  std::shared_ptr<WorkEstimate>& work =
+      this->work_estimates[{route.latency_objective, route.top_records}];
+  if (work == nullptr) {
+    work = std::make_shared<WorkEstimate>();
+  }
+  return work;
+}
+
 RepeatBudgetLimits RelayService::LimitsOf(std::string_view service) const {
   RepeatBudgetLimits own = this->budget_limits;
   own.burst = this->division.ShareOf(own.burst, service);
@@ -183,7 +192,8 @@
   // By domain.
   std::map<std::string_view, std::vector<std::uint32_t>> remote_parts;
   for (std::uint32_t i = 0; i < job.route->shards.size(); ++i) {
-    const TargetPtr target = this->targets.Choose(job.route->shards[i], {}, {});
+    const TargetPtr target = this->targets.Choose(
+        job.route->shards[i], {}, {}, this->WorkOf(*job.route).get());
     if (target != nullptr &&
         (delegates || target->distance() != Distance::kSameDomain)) {
       remote_parts[target->entry().failure_domain].push_back(i);
@@ -205,6 +215,7 @@
   const Route& route = *job.route;
   FanOutPlan plan;
   plan.route = &route;
+  plan.work = this->WorkOf(route);
   plan.arrival = job.arrival;
   plan.answer_by = job.answer_by;
   plan.deadline = job.deadline;
@@ -236,9 +247,11 @@
   FanOutPlan plan = this->MakePlan(*job);
   this->CountRequests(*job, plan);
   RelayedRequest::Hooks hooks;
-  hooks.choose_target = [this, job](std::string_view service,
-                                    std::span<const TargetPtr> tried) {
-    return this->targets.Choose(service, job->route->allowed_regions, tried);
+  hooks.choose_target = [this, job, work = plan.work](
+                            std::string_view service,
+                            std::span<const TargetPtr> tried) {
+    return this->targets.Choose(service, job->route->allowed_regions, tried,
+                                work.get());
   };
   hooks.pool_of = [this](const TargetPtr& target) {
     return this->targets.PoolOf(target);
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -78,6 +78,9 @@
                   const FanOutResult& result,
                   Duration latency);
   std::string_view PickService(const Route& route);
+  /// Estimate for requests of the route's kind. Routes with the same objective
+  /// and number of records are of one kind.
+  const std::shared_ptr<WorkEstimate>& WorkOf(const Route& route);
   RepeatBudgetLimits LimitsOf(std::string_view service) const;
   RepeatBudget& BudgetOf(std::string_view service);
   bool TakeRepeat(std::string_view service, AttemptPurpose purpose);
@@ -91,6 +94,9 @@
   BurstDivision division;
   std::shared_ptr<const RouteTable> table;
   std::map<std::string, RepeatBudget, std::less<>> budgets;  // by service
+  std::map<std::pair<std::chrono::milliseconds, std::uint32_t>,
+           std::shared_ptr<WorkEstimate>>
+      work_estimates;  // by objective and number of records
   std::mt19937_64 random;
   LogLimiter outcome_lines;
   std::function<bool()> is_outdated = [] { return false; };
--- a/src/relay/relayed_request.cc
+++ b/src/relay/relayed_request.cc
@@ -23,6 +23,7 @@
   this->shared->forwards_reply = !plan.route->fans_out();
   this->shared->priority = plan.route->priority;
   this->shared->deadline = plan.deadline;
+  this->shared->work = plan.work;
   this->state_machine =
       std::make_unique<FanOut>(std::move(plan), this->MakeFanOutHooks());
 }
@@ -86,6 +87,7 @@
   bundle_request->head += this->context.codec.encode_bundle(
       services, this->state_machine->AllowedMissing());
   bundle_request->answer_by = plan.answer_by;
+  bundle_request->work = nullptr;
   auto exchange = std::make_shared<TargetExchange>();
   exchange->request = std::move(bundle_request);
   const auto self = this->shared_from_this();
--- a/src/relay/target_exchange.h
+++ b/src/relay/target_exchange.h
@@ -21,6 +21,8 @@
     bool forwards_reply = false;  ///< the reply's headers are forwarded
     std::uint32_t priority = 0;
     TimePoint deadline{};
+    /// Estimate for the kind of request; null for bundles.
+    std::shared_ptr<WorkEstimate> work;
     /// Time at which the answer of another entry host is needed; max: at the
     /// deadline.
     TimePoint answer_by = TimePoint::max();
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -216,8 +216,9 @@
                        std::max(within, kMinAnswerTime)));
   }
   work->on_sent();
+  const std::shared_ptr<WorkEstimate> estimate = work->request->work;
   connection->Send(std::move(work), std::move(head));
-  this->state->OnSent(connection->sent_at());
+  this->state->OnSent(connection->sent_at(), estimate.get());
 }
 
 void TargetPool::OnConnected(const TargetConnectionPtr& connection,
@@ -267,7 +268,7 @@
   } else if (!end.complete || end.head.status >= kFirstServerError) {
     this->state->OnFailed(sent_at, now);
   } else {
-    this->state->OnReply(sent_at, now);
+    this->state->OnReply(sent_at, now, exchange->request->work.get());
     this->preconnect_delay = {};
   }
   if (!connection->open() || this->is_retired) {
@@ -303,7 +304,8 @@
   } else if (lingered &&
              (this->linger == Duration::zero() ||
               now - connection.exchange()->abandoned_at < this->linger)) {
-    this->state->OnAbandoned(connection.sent_at());
+    this->state->OnAbandoned(connection.sent_at(), now,
+                             connection.exchange()->request->work.get());
   } else {
     this->state->OnFailed(connection.sent_at(), now);
   }
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -240,7 +240,8 @@
 
 TargetPtr TargetTable::FindBest(std::string_view service,
                                 std::span<const std::string> allowed_regions,
-                                std::span<const TargetPtr> excluded) const {
+                                std::span<const TargetPtr> excluded,
+                                const WorkEstimate* work) const {
   const auto found = this->by_service.find(service);
   if (found == this->by_service.end()) {
     return nullptr;
@@ -253,7 +254,7 @@
         !this->MayReceive(*target, allowed_regions)) {
       continue;
     }
-    const Duration cost = target->Cost(now);
+    const Duration cost = target->Cost(now, work);
     if (best == nullptr || cost < best_cost) {
       best = target;
       best_cost = cost;
@@ -264,21 +265,22 @@
 
 TargetPtr TargetTable::Choose(std::string_view service,
                               std::span<const std::string> allowed_regions,
-                              std::span<const TargetPtr> tried) {
-  TargetPtr best = this->FindBest(service, allowed_regions, tried);
+                              std::span<const TargetPtr> tried,
+                              const WorkEstimate* work) {
+  TargetPtr best = this->FindBest(service, allowed_regions, tried, work);
   if (best == nullptr || this->TryAcquireColdRequest(*best)) {
     return best;
   }
   std::vector<TargetPtr> excluded(tried.begin(), tried.end());
   while (best != nullptr && !this->TryAcquireColdRequest(*best)) {
     excluded.push_back(best);
-    best = this->FindBest(service, allowed_regions, excluded);
+    best = this->FindBest(service, allowed_regions, excluded, work);
   }
   return best;
 }
 
 TargetPtr TargetTable::Preview(std::string_view service) const {
-  return this->FindBest(service, {}, {});
+  return this->FindBest(service, {}, {}, nullptr);
 }
 
 // Returns true if the target is warm, or if its cold rate admits one more
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -63,7 +63,8 @@
   /// if it is cold.
   TargetPtr Choose(std::string_view service,
                    std::span<const std::string> allowed_regions,
-                   std::span<const TargetPtr> tried);
+                   std::span<const TargetPtr> tried,
+                   const WorkEstimate* work = nullptr);
   /// Like Choose, but does not count a request.
   TargetPtr Preview(std::string_view service) const;
   /// Pool of a target that was just chosen.
@@ -79,7 +80,8 @@
 
   TargetPtr FindBest(std::string_view service,
                      std::span<const std::string> allowed_regions,
-                     std::span<const TargetPtr> excluded) const;
+                     std::span<const TargetPtr> excluded,
+                     const WorkEstimate* work) const;
   bool TryAcquireColdRequest(const TargetState& target);
   bool MayReceive(const TargetState& target,
                   std::span<const std::string> allowed_regions) const;
