Raise the cost of a target while its oldest reply is overdue

Cause: a pause was noticed at the upper bound of the usual time; requests that were placed before it waited up to 300 ms.

Change: the cost rises by the time that the oldest reply is overdue, up to the cost of a stall.

--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -76,11 +76,14 @@
  private:
   struct SentRequest {
     TimePoint sent_at{};
+    TimePoint expected_at{};
     TimePoint late_at{};  // a reply is later than usual from now on
   };
 
   double Slowdown(TimePoint now) const;
   void AddSlowdown(Duration latency, TimePoint now, const WorkEstimate& work);
+  /// Time by which the oldest reply is overdue.
+  Duration Overdue(TimePoint now) const;
   /// Expected time until a connection of this host is free.
   Duration ConnectionWait(TimePoint now) const;
   void Remove(TimePoint sent_at);
--- a/src/core/target_state.cc
+++ b/src/core/target_state.cc
@@ -112,8 +112,8 @@
 }
 
 void TargetState::OnSent(TimePoint now, const WorkEstimate* work) {
-  this->sent_requests.push_back(
-      {now, now + this->Upper(now, work) + kStallMargin});
+  this->sent_requests.push_back({now, now + this->Expected(now, work),
+                                 now + this->Upper(now, work) + kStallMargin});
 }
 
 void TargetState::OnReply(TimePoint sent_at,
@@ -200,6 +200,14 @@
       [now](const SentRequest& sent) { return now > sent.late_at; });
 }
 
+Duration TargetState::Overdue(TimePoint now) const {
+  Duration overdue = Duration::zero();
+  for (const SentRequest& sent : this->sent_requests) {
+    overdue = std::max(overdue, now - sent.expected_at);
+  }
+  return overdue;
+}
+
 Duration TargetState::ConnectionWait(TimePoint now) const {
   const std::size_t ahead = this->sent_requests.size() + this->waiting;
   if (this->connection_limit == 0 || ahead < this->connection_limit) {
@@ -227,6 +235,7 @@
             static_cast<int>(slots);
   }
   cost += this->ConnectionWait(now);
+  cost += std::min<Duration>(this->Overdue(now), kStallCost);
   if (this->Stalled(now)) {
     cost += kStallCost;
   }
