Prefer targets of the own region that are expected in time

A counter by purpose and distance showed that hosts that fetch for others sent a fifth of the first attempts back to a third region, because the target near them cost a few milliseconds more at that moment.

Change: a target in another region is chosen only if its cost is lower by more than an eighth of the objective. Within the objective an earlier reply gains the caller nothing.

--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -193,7 +193,8 @@
   std::map<std::string_view, std::vector<std::uint32_t>> remote_parts;
   for (std::uint32_t i = 0; i < job.route->shards.size(); ++i) {
     const TargetPtr target = this->targets.Choose(
-        job.route->shards[i], {}, {}, this->WorkOf(*job.route).get());
+        job.route->shards[i], {}, {}, this->WorkOf(*job.route).get(),
+        job.route->latency_objective / 8);
     if (target != nullptr &&
         (delegates || target->distance() != Distance::kSameDomain)) {
       remote_parts[target->entry().failure_domain].push_back(i);
@@ -251,7 +252,7 @@
                             std::string_view service,
                             std::span<const TargetPtr> tried) {
     return this->targets.Choose(service, job->route->allowed_regions, tried,
-                                work.get());
+                                work.get(), job->route->latency_objective / 8);
   };
   hooks.pool_of = [this](const TargetPtr& target) {
     return this->targets.PoolOf(target);
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -241,7 +241,8 @@
 TargetPtr TargetTable::FindBest(std::string_view service,
                                 std::span<const std::string> allowed_regions,
                                 std::span<const TargetPtr> excluded,
-                                const WorkEstimate* work) const {
+                                const WorkEstimate* work,
+                                Duration far_penalty) const {
   const auto found = this->by_service.find(service);
   if (found == this->by_service.end()) {
     return nullptr;
@@ -254,7 +255,10 @@
         !this->MayReceive(*target, allowed_regions)) {
       continue;
     }
-    const Duration cost = target->Cost(now, work);
+    const Duration cost =
+        target->Cost(now, work) + (target->distance() == Distance::kOtherRegion
+                                       ? far_penalty
+                                       : Duration::zero());
     if (best == nullptr || cost < best_cost) {
       best = target;
       best_cost = cost;
@@ -266,21 +270,24 @@
 TargetPtr TargetTable::Choose(std::string_view service,
                               std::span<const std::string> allowed_regions,
                               std::span<const TargetPtr> tried,
-                              const WorkEstimate* work) {
-  TargetPtr best = this->FindBest(service, allowed_regions, tried, work);
+                              const WorkEstimate* work,
+                              Duration far_penalty) {
+  TargetPtr best =
+      this->FindBest(service, allowed_regions, tried, work, far_penalty);
   if (best == nullptr || this->TryAcquireColdRequest(*best)) {
     return best;
   }
   std::vector<TargetPtr> excluded(tried.begin(), tried.end());
   while (best != nullptr && !this->TryAcquireColdRequest(*best)) {
     excluded.push_back(best);
-    best = this->FindBest(service, allowed_regions, excluded, work);
+    best =
+        this->FindBest(service, allowed_regions, excluded, work, far_penalty);
   }
   return best;
 }
 
 TargetPtr TargetTable::Preview(std::string_view service) const {
-  return this->FindBest(service, {}, {}, nullptr);
+  return this->FindBest(service, {}, {}, nullptr, {});
 }
 
 // Returns true if the target is warm, or if its cold rate admits one more
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -64,7 +64,8 @@
   TargetPtr Choose(std::string_view service,
                    std::span<const std::string> allowed_regions,
                    std::span<const TargetPtr> tried,
-                   const WorkEstimate* work = nullptr);
+                   const WorkEstimate* work = nullptr,
+                   Duration far_penalty = {});
   /// Like Choose, but does not count a request.
   TargetPtr Preview(std::string_view service) const;
   /// Pool of a target that was just chosen.
@@ -81,7 +82,8 @@
   TargetPtr FindBest(std::string_view service,
                      std::span<const std::string> allowed_regions,
                      std::span<const TargetPtr> excluded,
-                     const WorkEstimate* work) const;
+                     const WorkEstimate* work,
+                     Duration far_penalty) const;
   bool TryAcquireColdRequest(const TargetState& target);
   bool MayReceive(const TargetState& target,
                   std::span<const std::string> allowed_regions) const;
