Send no hedge whose reply is expected too late

Change: a hedge is sent only if the target's cost leaves time for the reply until the objective, and after it until the deadline.

--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -55,6 +55,9 @@
   if (target == nullptr) {
     return false;
   }
+  if (purpose == AttemptPurpose::kHedge && !this->InTime(*target, now)) {
+    return false;
+  }
   // An attempt that is still waiting for a connection may reach its target,
   // too.
   const bool extra = part.reached_target || HasOpenAttempt(part);
@@ -70,6 +73,14 @@
   return true;
 }
 
+// A hedge that is too late only adds load where targets are short of it.
+bool FanOut::InTime(const TargetState& target, TimePoint now) const {
+  const TimePoint due = now < this->request_plan.answer_by
+                            ? this->request_plan.answer_by
+                            : this->request_plan.deadline;
+  return now + target.Cost(now, this->request_plan.work.get()) < due;
+}
+
 // The hedge starts when the reply is later than usual or, if that is earlier,
 // at the last time for which the reply to the hedge can be expected within the
 // latency objective.
