Judge hedges by the expected delay without penalties

Cause: the cost of a target contains penalties for failures and warm-up that are no time, so that hedges to a target that had just failed once were withheld.

Change: TargetState::Delay is the expected time; Cost adds the penalties.

Kept because the condition now says what it means.

--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -65,7 +65,9 @@
   Duration Expected(TimePoint now, const WorkEstimate* work = nullptr) const;
   /// Time after which a reply is later than usual.
   Duration Upper(TimePoint now, const WorkEstimate* work = nullptr) const;
-  /// Expected time to the reply, plus penalties for conditions that make a
+  /// Expected time to the reply with the present queue or stall.
+  Duration Delay(TimePoint now, const WorkEstimate* work = nullptr) const;
+  /// Delay, plus penalties for conditions that make a
   /// reply unlikely.
   Duration Cost(TimePoint now, const WorkEstimate* work = nullptr) const;
   /// Whether the target is excluded after failures.
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -78,7 +78,7 @@
   const TimePoint due = now < this->request_plan.answer_by
                             ? this->request_plan.answer_by
                             : this->request_plan.deadline;
-  return now + target.Cost(now, this->request_plan.work.get()) < due;
+  return now + target.Delay(now, this->request_plan.work.get()) < due;
 }
 
 // The hedge starts when the reply is later than usual or, if that is earlier,
--- a/src/core/target_state.cc
+++ b/src/core/target_state.cc
@@ -218,7 +218,7 @@
          static_cast<int>(this->connection_limit);
 }
 
-Duration TargetState::Cost(TimePoint now, const WorkEstimate* work) const {
+Duration TargetState::Delay(TimePoint now, const WorkEstimate* work) const {
   Duration cost = this->Expected(now, work);
   const Duration execution = std::max<Duration>(
       this->latency_estimate.Mean(now) - this->latency_estimate.Floor(),
@@ -239,6 +239,11 @@
   if (this->Stalled(now)) {
     cost += kStallCost;
   }
+  return cost;
+}
+
+Duration TargetState::Cost(TimePoint now, const WorkEstimate* work) const {
+  Duration cost = this->Delay(now, work);
   if (now < this->avoid_until) {
     cost += kAvoidCost;
   }
