--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -28,7 +28,7 @@
 constexpr milliseconds kShortLinger{30};
 constexpr int kFirstServerError = 500;
 // Time to read the request and to write the reply of a bundle, on both hosts.
-constexpr milliseconds kBundleHandling{4};
+constexpr milliseconds kBundleHandling{8};
 // Minimum time given to another entry host for its answer.
 constexpr milliseconds kMinAnswerTime{5};
 // Another entry host whose answer is later than this is treated as unreachable.
