Request parts without a near target in one bundle

Cause: a third of the shards has no target in a host's region. Both other regions have one, each part chose by a few milliseconds of cost, and nearly each query sent two bundles, each with its own head and signatures.

Change: parts move to the failure domain that most of the far parts chose, if their target there costs at most an eighth of the objective more.

--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -200,6 +200,36 @@
       remote_parts[target->entry().failure_domain].push_back(i);
     }
   }
+  if (remote_parts.size() > 1) {
+    const auto largest =
+        std::max_element(remote_parts.begin(), remote_parts.end(),
+                         [](const auto& left, const auto& right) {
+                           return left.second.size() < right.second.size();
+                         });
+    const std::vector<std::string> only{
+        std::string(this->targets.RegionOf(largest->first))};
+    const TimePoint now = this->context.clock.Now();
+    const WorkEstimate* work = this->WorkOf(*job.route).get();
+    for (auto& [domain, parts] : remote_parts) {
+      if (domain == largest->first)
+        continue;
+      std::erase_if(parts, [&](std::uint32_t part) {
+        const TargetPtr first =
+            this->targets.Choose(job.route->shards[part], {}, {}, work,
+                                 job.route->latency_objective / 8);
+        const TargetPtr other =
+            this->targets.Choose(job.route->shards[part], only, {}, work,
+                                 job.route->latency_objective / 8);
+        if (first == nullptr || other == nullptr ||
+            other->entry().failure_domain != largest->first ||
+            other->Cost(now, work) >
+                first->Cost(now, work) + job.route->latency_objective / 8)
+          return false;
+        largest->second.push_back(part);
+        return true;
+      });
+    }
+  }
   for (auto& [domain, parts] : remote_parts) {
     if (parts.size() < kMinBundleParts) {
       continue;
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -76,6 +76,8 @@
   void Sweep();
   std::size_t size() const { return this->pools.size(); }
 
+  std::string_view RegionOf(std::string_view domain) const;
+
  private:
   using PoolPtr = std::shared_ptr<TargetPool>;
 
@@ -95,7 +97,6 @@
   /// use.
   double ConnectionShare(std::string_view service) const;
   Distance DistanceOf(std::string_view domain) const;
-  std::string_view RegionOf(std::string_view domain) const;
 
   const RelayContext& context;
   Location own_location;
