--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "auburnyard/error.h"
+#include "auburnyard/hedging.h"
 #include "auburnyard/loss_cause.h"
 #include "auburnyard/reason.h"
 #include "auburnyard/record_merger.h"
@@ -189,9 +190,7 @@
   void RetryOrGiveUpParts(const Bundle& bundle, TimePoint now);
   void AbandonAttempts(std::uint32_t index);
   bool StartAttempt(std::uint32_t part, AttemptPurpose purpose, TimePoint now);
-  /// Whether a reply of the target may be expected in time.
-  bool InTime(const TargetState& target, TimePoint now) const;
-  void ScheduleHedge(Part& part, const TargetPtr& target, TimePoint now) const;
+  HedgeTiming Timing() const;
   void OnHedgeDue(std::uint32_t index, TimePoint now);
   /// Retries a part whose attempts have all ended, or gives it up.
   void RetryOrGiveUp(std::uint32_t index, TimePoint now);
--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -74,6 +74,8 @@
   bool Avoided(TimePoint now) const { return now < this->avoid_until; }
   /// Whether a request in flight has waited much longer than usual.
   bool Stalled(TimePoint now) const;
+  /// Whether no request in flight was sent earlier.
+  bool IsOldest(TimePoint sent_at) const;
 
  private:
   struct SentRequest {
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -13,8 +13,6 @@
 // Refused attempts do not count as executions but still cause load on targets,
 // so that the number of attempts is limited as well.
 constexpr std::size_t kMaxAttemptsPerPart = 4;
-// Shorter delays would hedge requests within the ordinary latency variation.
-constexpr milliseconds kMinHedgeDelay{10};
 // Delay until a hedge for which no target or budget was available is retried.
 constexpr milliseconds kHedgeRetryDelay{25};
 // Tolerance for rounding errors in the comparison with the minimum coverage.
@@ -55,7 +53,8 @@
   if (target == nullptr) {
     return false;
   }
-  if (purpose == AttemptPurpose::kHedge && !this->InTime(*target, now)) {
+  if (purpose == AttemptPurpose::kHedge &&
+      !IsHedgeInTime(*target, this->Timing(), now)) {
     return false;
   }
   // An attempt that is still waiting for a connection may reach its target,
@@ -67,36 +66,18 @@
   this->started_repeats += purpose == AttemptPurpose::kFirst ? 0 : 1;
   part.tried.push_back(target);
   part.attempts.push_back({.target = target});
-  this->ScheduleHedge(part, target, now);
+  if (this->request_plan.route->idempotent) {
+    part.hedge_at = HedgeTime(*target, this->Timing(), now);
+  }
   this->hooks.send_attempt(
       {index, static_cast<std::uint32_t>(part.attempts.size() - 1)}, target);
   return true;
 }
 
-// A hedge that is too late only adds load where targets are short of it.
-bool FanOut::InTime(const TargetState& target, TimePoint now) const {
-  const TimePoint due = now < this->request_plan.answer_by
-                            ? this->request_plan.answer_by
-                            : this->request_plan.deadline;
-  return now + target.Delay(now, this->request_plan.work.get()) < due;
-}
-
-// The hedge starts when the reply is later than usual or, if that is earlier,
-// at the last time for which the reply to the hedge can be expected within the
-// latency objective.
-void FanOut::ScheduleHedge(Part& part,
-                           const TargetPtr& target,
-                           TimePoint now) const {
-  if (!this->request_plan.route->idempotent) {
-    return;
-  }
-  const WorkEstimate* work = this->request_plan.work.get();
-  const Duration mean = target->Expected(now, work);
-  const TimePoint usual = now + target->Upper(now, work);
-  const TimePoint latest = this->request_plan.answer_by - mean;
-  const TimePoint earliest =
-      now + std::max<Duration>(mean + mean / 4, kMinHedgeDelay);
-  part.hedge_at = std::max(earliest, std::min(usual, latest));
+HedgeTiming FanOut::Timing() const {
+  return {.work = this->request_plan.work.get(),
+          .answer_by = this->request_plan.answer_by,
+          .deadline = this->request_plan.deadline};
 }
 
 void FanOut::OnHedgeDue(std::uint32_t index, TimePoint now) {
--- a/src/core/target_state.cc
+++ b/src/core/target_state.cc
@@ -200,6 +200,12 @@
       [now](const SentRequest& sent) { return now > sent.late_at; });
 }
 
+bool TargetState::IsOldest(TimePoint sent_at) const {
+  return std::none_of(
+      this->sent_requests.begin(), this->sent_requests.end(),
+      [sent_at](const SentRequest& sent) { return sent.sent_at < sent_at; });
+}
+
 Duration TargetState::Overdue(TimePoint now) const {
   Duration overdue = Duration::zero();
   for (const SentRequest& sent : this->sent_requests) {
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -104,6 +104,11 @@
   return work;
 }
 
+PlacementNeeds RelayService::NeedsOf(const Route& route) {
+  return {.work = this->WorkOf(route).get(),
+          .objective = route.latency_objective};
+}
+
 RepeatBudgetLimits RelayService::LimitsOf(std::string_view service) const {
   RepeatBudgetLimits own = this->budget_limits;
   own.burst = this->division.ShareOf(own.burst, service);
@@ -183,54 +188,27 @@
   return job;
 }
 
-std::vector<PartBundle> RelayService::MakeBundles(const RelayJob& job) {
-  std::vector<PartBundle> bundles;
-  if (job.from_peer || !job.route->allowed_regions.empty()) {
-    return bundles;
-  }
+std::vector<FarPart> RelayService::FindFarParts(const RelayJob& job) {
   const bool delegates = this->peers.delegates();
-  // By domain.
-  std::map<std::string_view, std::vector<std::uint32_t>> remote_parts;
+  const PlacementNeeds needs = this->NeedsOf(*job.route);
+  std::vector<FarPart> far_parts;
   for (std::uint32_t i = 0; i < job.route->shards.size(); ++i) {
-    const TargetPtr target = this->targets.Choose(
-        job.route->shards[i], {}, {}, this->WorkOf(*job.route).get(),
-        job.route->latency_objective / 8);
-    if (target != nullptr &&
-        (delegates || target->distance() != Distance::kSameDomain)) {
-      remote_parts[target->entry().failure_domain].push_back(i);
+    DomainCosts costs = this->targets.Costs(job.route->shards[i], needs);
+    if (!costs.empty() &&
+        (delegates || CheapestDomain(costs) != this->targets.own_domain())) {
+      far_parts.push_back({i, std::move(costs)});
     }
   }
-  if (remote_parts.size() > 1) {
-    const auto largest =
-        std::max_element(remote_parts.begin(), remote_parts.end(),
-                         [](const auto& left, const auto& right) {
-                           return left.second.size() < right.second.size();
-                         });
-    const std::vector<std::string> only{
-        std::string(this->targets.RegionOf(largest->first))};
-    const TimePoint now = this->context.clock.Now();
-    const WorkEstimate* work = this->WorkOf(*job.route).get();
-    for (auto& [domain, parts] : remote_parts) {
-      if (domain == largest->first)
-        continue;
-      std::erase_if(parts, [&](std::uint32_t part) {
-        const TargetPtr first =
-            this->targets.Choose(job.route->shards[part], {}, {}, work,
-                                 job.route->latency_objective / 8);
-        const TargetPtr other =
-            this->targets.Choose(job.route->shards[part], only, {}, work,
-                                 job.route->latency_objective / 8);
-        if (first == nullptr || other == nullptr ||
-            other->entry().failure_domain != largest->first ||
-            other->Cost(now, work) >
-                first->Cost(now, work) + job.route->latency_objective / 8)
-          return false;
-        largest->second.push_back(part);
-        return true;
-      });
-    }
+  return far_parts;
+}
+
+std::vector<PartBundle> RelayService::MakeBundles(const RelayJob& job) {
+  std::vector<PartBundle> bundles;
+  if (job.from_peer || !job.route->allowed_regions.empty()) {
+    return bundles;
   }
-  for (auto& [domain, parts] : remote_parts) {
+  const Duration margin = FarMargin(this->NeedsOf(*job.route));
+  for (auto& [domain, parts] : GroupFarParts(this->FindFarParts(job), margin)) {
     if (parts.size() < kMinBundleParts) {
       continue;
     }
@@ -278,11 +256,10 @@
   FanOutPlan plan = this->MakePlan(*job);
   this->CountRequests(*job, plan);
   RelayedRequest::Hooks hooks;
-  hooks.choose_target = [this, job, work = plan.work](
-                            std::string_view service,
-                            std::span<const TargetPtr> tried) {
+  hooks.choose_target = [this, job](std::string_view service,
+                                    std::span<const TargetPtr> tried) {
     return this->targets.Choose(service, job->route->allowed_regions, tried,
-                                work.get(), job->route->latency_objective / 8);
+                                this->NeedsOf(*job->route));
   };
   hooks.pool_of = [this](const TargetPtr& target) {
     return this->targets.PoolOf(target);
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -7,7 +7,9 @@
 #include <random>
 #include <string>
 
+#include "auburnyard/bundle_grouping.h"
 #include "auburnyard/burst_division.h"
+#include "auburnyard/placement.h"
 #include "auburnyard/repeat_budget.h"
 #include "src/relay/caller_answer.h"
 #include "src/relay/log_limiter.h"
@@ -58,8 +60,10 @@
                       bool from_peer) const;
   void Start(const RelayJobPtr& job);
   FanOutPlan MakePlan(const RelayJob& job);
-  /// Bundles the parts whose best target is in another failure domain and
-  /// assigns each bundle to an entry host there.
+  /// Parts whose cheapest target this host reaches through another one.
+  std::vector<FarPart> FindFarParts(const RelayJob& job);
+  /// Bundles the far parts and assigns each bundle to an entry host near their
+  /// targets.
   std::vector<PartBundle> MakeBundles(const RelayJob& job);
   void CountRequests(const RelayJob& job, const FanOutPlan& plan);
   void Finish(const RelayJobPtr& job,
@@ -81,6 +85,7 @@
   /// Estimate for requests of the route's kind. Routes with the same objective
   /// and number of records are of one kind.
   const std::shared_ptr<WorkEstimate>& WorkOf(const Route& route);
+  PlacementNeeds NeedsOf(const Route& route);
   RepeatBudgetLimits LimitsOf(std::string_view service) const;
   RepeatBudget& BudgetOf(std::string_view service);
   bool TakeRepeat(std::string_view service, AttemptPurpose purpose);
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "auburnyard/hedging.h"
 #include "src/net/http_client.h"
 
 namespace auburnyard {
@@ -18,14 +19,8 @@
 // Connection attempts to a lost machine hang. The time-out covers a round trip
 // between regions, a slow handshake and one pause of the target.
 constexpr milliseconds kConnectTimeout{450};
-// Time for the reply to an abandoned exchange to arrive, so that its connection
-// can be reused. Targets must not work on a request half a second after the
-// caller disconnected.
-constexpr milliseconds kLinger{350};
-// Further connections with abandoned exchanges are closed after this time, so
-// that they are available to other requests and the target drops the work. The
-// reply to the oldest exchange shows when the target replies again.
-constexpr milliseconds kShortLinger{30};
+// An exchange is given up this long after its deadline.
+constexpr milliseconds kDeadlineGrace{350};
 constexpr int kFirstServerError = 500;
 // Time to read the request and to write the reply of a bundle, on both hosts.
 constexpr milliseconds kBundleHandling{8};
@@ -55,7 +50,7 @@
     : context(relay_context),
       state(std::move(target_state)),
       hooks(std::move(pool_hooks)),
-      linger(kLinger) {
+      linger(Duration::max()) {
   const HostPort address = ParseHostPort(this->state->entry().address);
   this->endpoint = {asio::ip::make_address(address.host), address.port};
 }
@@ -301,9 +296,8 @@
   if (due != TimePoint::max() && now > due + kLateAnswerMargin) {
     this->state->OnAbandoned(connection.sent_at());
     this->state->OnUnreachable(now);
-  } else if (lingered &&
-             (this->linger == Duration::zero() ||
-              now - connection.exchange()->abandoned_at < this->linger)) {
+  } else if (lingered && (this->linger == Duration::zero() ||
+                          !this->state->IsOldest(connection.sent_at()))) {
     this->state->OnAbandoned(connection.sent_at(), now,
                              connection.exchange()->request->work.get());
   } else {
@@ -311,20 +305,9 @@
   }
 }
 
-TimePoint TargetPool::OldestSent() const {
-  TimePoint oldest = TimePoint::max();
-  for (const TargetConnectionPtr& connection : this->all) {
-    if (connection->busy()) {
-      oldest = std::min(oldest, connection->sent_at());
-    }
-  }
-  return oldest;
-}
-
 void TargetPool::Sweep() {
   const TimePoint now = this->context.clock.Now();
   const std::vector<TargetConnectionPtr> present = this->all;
-  const TimePoint oldest_sent = this->OldestSent();
   for (const TargetConnectionPtr& connection : present) {
     const Duration age = now - connection->since();
     if (connection->connecting()) {
@@ -334,13 +317,11 @@
       }
     } else if (connection->busy()) {
       const TargetExchangePtr& exchange = connection->exchange();
-      const Duration allowed =
-          connection->sent_at() > oldest_sent
-              ? std::min<Duration>(this->linger, kShortLinger)
-              : this->linger;
+      const Duration allowed = std::min(
+          this->linger, LingerTime(*this->state, connection->sent_at()));
       const bool lingered = exchange->ended && exchange->request->idempotent &&
                             now - exchange->abandoned_at >= allowed;
-      if (now > exchange->request->deadline + kLinger || lingered) {
+      if (now > exchange->request->deadline + kDeadlineGrace || lingered) {
         this->CountLateExchange(*connection, lingered, now);
         connection->Close();
         this->Remove(connection);
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -67,8 +67,6 @@
   void OnConnected(const TargetConnectionPtr& connection, bool success);
   void OnEnd(const TargetConnectionPtr& connection, ExchangeEnd end);
   void Remove(const TargetConnectionPtr& connection);
-  /// Time at which the oldest exchange in progress was sent; max if none.
-  TimePoint OldestSent() const;
   void CountLateExchange(const TargetConnection& connection,
                          bool lingered,
                          TimePoint now);
@@ -81,7 +79,7 @@
   Hooks hooks;
   boost::asio::ip::tcp::endpoint endpoint;
   std::size_t connection_limit = 1;
-  Duration linger;
+  Duration linger;  // limit of the linger time
   std::vector<TargetConnectionPtr> all;
   std::deque<TargetExchangePtr> waiting;  // by priority, then by arrival
   TimePoint next_preconnect{};
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -241,8 +241,7 @@
 TargetPtr TargetTable::FindBest(std::string_view service,
                                 std::span<const std::string> allowed_regions,
                                 std::span<const TargetPtr> excluded,
-                                const WorkEstimate* work,
-                                Duration far_penalty) const {
+                                const PlacementNeeds& needs) const {
   const auto found = this->by_service.find(service);
   if (found == this->by_service.end()) {
     return nullptr;
@@ -255,10 +254,7 @@
         !this->MayReceive(*target, allowed_regions)) {
       continue;
     }
-    const Duration cost =
-        target->Cost(now, work) + (target->distance() == Distance::kOtherRegion
-                                       ? far_penalty
-                                       : Duration::zero());
+    const Duration cost = PlacementCost(*target, needs, now);
     if (best == nullptr || cost < best_cost) {
       best = target;
       best_cost = cost;
@@ -270,24 +266,36 @@
 TargetPtr TargetTable::Choose(std::string_view service,
                               std::span<const std::string> allowed_regions,
                               std::span<const TargetPtr> tried,
-                              const WorkEstimate* work,
-                              Duration far_penalty) {
-  TargetPtr best =
-      this->FindBest(service, allowed_regions, tried, work, far_penalty);
+                              const PlacementNeeds& needs) {
+  TargetPtr best = this->FindBest(service, allowed_regions, tried, needs);
   if (best == nullptr || this->TryAcquireColdRequest(*best)) {
     return best;
   }
   std::vector<TargetPtr> excluded(tried.begin(), tried.end());
   while (best != nullptr && !this->TryAcquireColdRequest(*best)) {
     excluded.push_back(best);
-    best =
-        this->FindBest(service, allowed_regions, excluded, work, far_penalty);
+    best = this->FindBest(service, allowed_regions, excluded, needs);
   }
   return best;
 }
 
-TargetPtr TargetTable::Preview(std::string_view service) const {
-  return this->FindBest(service, {}, {}, nullptr, {});
+DomainCosts TargetTable::Costs(std::string_view service,
+                               const PlacementNeeds& needs) const {
+  DomainCosts costs;
+  const auto found = this->by_service.find(service);
+  if (found == this->by_service.end()) {
+    return costs;
+  }
+  const TimePoint now = this->context.clock.Now();
+  for (const TargetPtr& target : found->second) {
+    if (this->MayReceive(*target, {})) {
+      const Duration cost = PlacementCost(*target, needs, now);
+      const auto entry =
+          costs.emplace(target->entry().failure_domain, cost).first;
+      entry->second = std::min(entry->second, cost);
+    }
+  }
+  return costs;
 }
 
 // Returns true if the target is warm, or if its cold rate admits one more
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -8,8 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "auburnyard/bundle_grouping.h"
 #include "auburnyard/cold_rate_limiter.h"
 #include "auburnyard/host_table.h"
+#include "auburnyard/placement.h"
 #include "auburnyard/route_table.h"
 #include "auburnyard/target_state.h"
 #include "src/relay/target_pool.h"
@@ -64,10 +66,10 @@
   TargetPtr Choose(std::string_view service,
                    std::span<const std::string> allowed_regions,
                    std::span<const TargetPtr> tried,
-                   const WorkEstimate* work = nullptr,
-                   Duration far_penalty = {});
-  /// Like Choose, but does not count a request.
-  TargetPtr Preview(std::string_view service) const;
+                   const PlacementNeeds& needs = {});
+  /// Lowest placement cost of the service's targets in each failure domain.
+  DomainCosts Costs(std::string_view service,
+                    const PlacementNeeds& needs) const;
   /// Pool of a target that was just chosen.
   std::shared_ptr<TargetPool> PoolOf(const TargetPtr& target) const;
   /// Targets that are registered for the service.
@@ -76,7 +78,7 @@
   void Sweep();
   std::size_t size() const { return this->pools.size(); }
 
-  std::string_view RegionOf(std::string_view domain) const;
+  const std::string& own_domain() const { return this->own_location.domain; }
 
  private:
   using PoolPtr = std::shared_ptr<TargetPool>;
@@ -84,8 +86,7 @@
   TargetPtr FindBest(std::string_view service,
                      std::span<const std::string> allowed_regions,
                      std::span<const TargetPtr> excluded,
-                     const WorkEstimate* work,
-                     Duration far_penalty) const;
+                     const PlacementNeeds& needs) const;
   bool TryAcquireColdRequest(const TargetState& target);
   bool MayReceive(const TargetState& target,
                   std::span<const std::string> allowed_regions) const;
@@ -97,6 +98,7 @@
   /// use.
   double ConnectionShare(std::string_view service) const;
   Distance DistanceOf(std::string_view domain) const;
+  std::string_view RegionOf(std::string_view domain) const;
 
   const RelayContext& context;
   Location own_location;
