Name the delay of a target and the constants of its slowdown

Cause: Delay accumulated into a variable called cost, and two constants of the slowdown had no reason beside them.

Change: names and comments only; no behaviour, so nothing was measured.

--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -67,8 +67,7 @@
   Duration Upper(TimePoint now, const WorkEstimate* work = nullptr) const;
   /// Expected time to the reply with the present queue or stall.
   Duration Delay(TimePoint now, const WorkEstimate* work = nullptr) const;
-  /// Delay, plus penalties for conditions that make a
-  /// reply unlikely.
+  /// Delay, plus penalties for conditions that make a reply unlikely.
   Duration Cost(TimePoint now, const WorkEstimate* work = nullptr) const;
   /// Whether the target is excluded after failures.
   bool Avoided(TimePoint now) const { return now < this->avoid_until; }
--- a/src/core/target_state.cc
+++ b/src/core/target_state.cc
@@ -35,7 +35,9 @@
 constexpr double kOutcomeWeight = 0.25;
 // A slowdown is expected to last this long after the last observation.
 constexpr std::chrono::seconds kSlowdownValidity{2};
+// Weight of a new observation: about the last ten requests count.
 constexpr double kSlowdownWeight = 0.1;
+// Limits the effect of a single request that met a pause.
 constexpr double kMaxSlowdown = 20;
 // A reply of a slower target counts as late nevertheless.
 constexpr double kMaxUsualSlowdown = 2;
@@ -225,7 +227,7 @@
 }
 
 Duration TargetState::Delay(TimePoint now, const WorkEstimate* work) const {
-  Duration cost = this->Expected(now, work);
+  Duration delay = this->Expected(now, work);
   const Duration execution = std::max<Duration>(
       this->latency_estimate.Mean(now) - this->latency_estimate.Floor(),
       kMinExecution);
@@ -237,15 +239,15 @@
     slots = std::max(1U, this->load->slots);
   }
   if (requests_ahead >= slots) {
-    cost += execution * static_cast<int>(requests_ahead - slots + 1) /
-            static_cast<int>(slots);
+    delay += execution * static_cast<int>(requests_ahead - slots + 1) /
+             static_cast<int>(slots);
   }
-  cost += this->ConnectionWait(now);
-  cost += std::min<Duration>(this->Overdue(now), kStallCost);
+  delay += this->ConnectionWait(now);
+  delay += std::min<Duration>(this->Overdue(now), kStallCost);
   if (this->Stalled(now)) {
-    cost += kStallCost;
+    delay += kStallCost;
   }
-  return cost;
+  return delay;
 }
 
 Duration TargetState::Cost(TimePoint now, const WorkEstimate* work) const {
