--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -129,11 +129,11 @@
         continue;
       }
     }
-    Sent request{.id = "c" + std::to_string(client) + "r" +
-                       std::to_string(number),
-                 .host = host,
-                 .sent = {},
-                 .ended = {}};
+    Sent request{
+        .id = "c" + std::to_string(client) + "r" + std::to_string(number),
+        .host = host,
+        .sent = {},
+        .ended = {}};
     Message answer;
     connection->Write(EncodeRequest("POST", "/ledger/x", request.id, kDeadline,
                                     "entry " + request.id));
@@ -142,8 +142,7 @@
         connection->Read(answer, request.sent + kDeadline + Milliseconds(500));
     request.ended = Now();
     request.status = answered ? answer.Status() : 0;
-    const bool close =
-        !answered || answer.Header("Connection") == "close";
+    const bool close = !answered || answer.Header("Connection") == "close";
     this->record.Line(request.id + " to " + this->hosts[host]->name() +
                       " sent " +
                       std::to_string(this->record.Seconds(request.sent)) +
@@ -223,8 +222,7 @@
     const auto found = std::find_if(
         this->terminations.begin(), this->terminations.end(),
         [&](const auto& entry) {
-          return entry.first == request.host &&
-                 request.ended > entry.second &&
+          return entry.first == request.host && request.ended > entry.second &&
                  request.sent < entry.second + kGrace + kAfterGrace;
         });
     if (found == this->terminations.end()) {
@@ -246,9 +244,9 @@
   }
   std::ostringstream summary;
   summary << "requests " << this->requests.size() << ", served " << served
-          << ", other answers " << other
-          << ", cut without an answer: counted " << lost << ", excused "
-          << excused << ", away from any SIGTERM " << elsewhere;
+          << ", other answers " << other << ", cut without an answer: counted "
+          << lost << ", excused " << excused << ", away from any SIGTERM "
+          << elsewhere;
   this->record.Line(summary.str());
   std::cout << summary.str() << "\n";
   if (served == 0) {
@@ -262,14 +260,14 @@
   site.regions = {{"zone-a", "region-a"}, {"zone-b", "region-b"}};
   PutConfig(this->store);
   for (const std::string zone : {"zone-a", "zone-b"}) {
-    this->backends.push_back(std::make_unique<Backend>(
-        Backend::Options{.id = "i-" + zone,
-                         .service = "ledger",
-                         .zone = zone,
-                         .slots = 3,
-                         .queue = 18,
-                         .work = kWork},
-        this->store, this->arrivals));
+    this->backends.push_back(
+        std::make_unique<Backend>(Backend::Options{.id = "i-" + zone,
+                                                   .service = "ledger",
+                                                   .zone = zone,
+                                                   .slots = 3,
+                                                   .queue = 18,
+                                                   .work = kWork},
+                                  this->store, this->arrivals));
     this->hosts.push_back(std::make_unique<Host>("front-" + zone, zone));
   }
   std::vector<Host*> all;
@@ -280,9 +278,8 @@
     host->Configure(this->folder.path(), site, this->store.port(), all);
     host->Start();
   }
-  if (!AwaitFleet(all, [&] {
-        return this->store.Count("hosts/") == all.size();
-      })) {
+  if (!AwaitFleet(all,
+                  [&] { return this->store.Count("hosts/") == all.size(); })) {
     this->record.Line("the fleet did not start");
     return 2;
   }
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -171,8 +171,8 @@
       summary << " " << count << "x" << status;
     }
   }
-  summary << ", late at a draining backend " << late << ", of them cut by its end "
-          << lost;
+  summary << ", late at a draining backend " << late
+          << ", of them cut by its end " << lost;
   this->record.Line(summary.str());
   std::cout << summary.str() << "\n";
   if (served == 0) {
@@ -196,9 +196,8 @@
     host->Configure(this->folder.path(), this->site, this->store.port(), all);
     host->Start();
   }
-  if (!AwaitFleet(all, [&] {
-        return this->store.Count("hosts/") == all.size();
-      })) {
+  if (!AwaitFleet(all,
+                  [&] { return this->store.Count("hosts/") == all.size(); })) {
     this->record.Line("the fleet did not start");
     return 2;
   }
--- a/review/standin/backend.cc
+++ b/review/standin/backend.cc
@@ -1,6 +1,7 @@
 #include "review/standin/backend.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include <boost/json.hpp>
 
@@ -119,8 +120,7 @@
       entry.state = "refused";
       entry.finished = Now();
     });
-    return this->Answer(request, 503, {{"X-Auburnyard-Not-Executed", "1"}},
-                        "");
+    return this->Answer(request, 503, {{"X-Auburnyard-Not-Executed", "1"}}, "");
   };
   if (this->running >= this->settings.slots &&
       this->waiting.size() >= this->settings.queue) {
@@ -208,9 +208,16 @@
                           this->settings.service + "." + this->settings.id +
                               "." + id + "." + std::to_string(execution)}};
   const std::lock_guard lock(this->mutex);
-  return state == "late" ? this->Answer(request, 504, stamp, "")
-                         : this->Answer(request, 200, stamp,
-                                        this->settings.body);
+  if (state == "late") {
+    return this->Answer(request, 504, stamp, "");
+  }
+  // Spreads the failures evenly.
+  const double share = this->settings.failing_share;
+  const auto number = static_cast<double>(execution);
+  if (std::floor(number * share) > std::floor((number - 1) * share)) {
+    return this->Answer(request, 503, stamp, "failed");
+  }
+  return this->Answer(request, 200, stamp, this->settings.body);
 }
 
 }  // namespace review
--- a/review/standin/backend.h
+++ b/review/standin/backend.h
@@ -16,8 +16,9 @@
   std::string request;
   std::string backend;
   SteadyTime arrived;
-  SteadyTime started = SteadyTime::max();   ///< the backend began to work
-  SteadyTime finished = SteadyTime::max();  ///< it ended, with or without answer
+  SteadyTime started = SteadyTime::max();  ///< the backend began to work
+  SteadyTime finished =
+      SteadyTime::max();  ///< it ended, with or without answer
   /// "queued", "running", "answered", "refused", "dropped" or "ended".
   std::string state = "queued";
 };
@@ -26,8 +27,7 @@
 class ArrivalLog {
  public:
   std::size_t Add(Arrival arrival);
-  void Update(std::size_t index,
-              const std::function<void(Arrival&)>& change);
+  void Update(std::size_t index, const std::function<void(Arrival&)>& change);
   std::vector<Arrival> All() const;
 
  private:
@@ -47,6 +47,9 @@
     std::size_t queue = 18;
     Milliseconds work{5};
     std::string body = "ok";
+    /// Share of the requests that it runs and then answers with 503, without
+    /// the header X-Auburnyard-Not-Executed.
+    double failing_share = 0;
   };
 
   Backend(Options backend_options, Store& platform_store, ArrivalLog& log);
@@ -67,7 +70,9 @@
                                        Connection& peer,
                                        std::size_t arrival,
                                        SteadyTime deadline);
-  std::string Answer(const Message& request, int status, Headers headers,
+  std::string Answer(const Message& request,
+                     int status,
+                     Headers headers,
                      std::string_view body);
   void Beat();
   void Register();
