--- a/review/standin/http.cc
+++ b/review/standin/http.cc
@@ -19,6 +19,9 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr int kPollMs = 50;
 constexpr int kBacklog = 512;
+constexpr std::uint32_t kFirstPort = 15'000;
+constexpr std::uint32_t kPortCount = 16'000;
+constexpr std::uint32_t kPortsPerProcess = 64;
 
 bool SameName(std::string_view left, std::string_view right) {
   return left.size() == right.size() &&
@@ -249,10 +252,23 @@
   }
 }
 
+// Below the range from which the system takes the ports of outgoing
+// connections, so that none of them takes the port before its owner listens.
 std::uint16_t FreePort() {
-  std::uint16_t port = 0;
-  close(BoundSocket(port));
-  return port;
+  static std::atomic<std::uint32_t> next{static_cast<std::uint32_t>(getpid()) *
+                                         kPortsPerProcess};
+  while (true) {
+    const auto port =
+        static_cast<std::uint16_t>(kFirstPort + next++ % kPortCount);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address),
+                           sizeof(address)) == 0;
+    close(fd);
+    if (free) {
+      return port;
+    }
+  }
 }
 
 }  // namespace review
