Describe the route of a bundle in its request

Cause: a request for a bundle named its shards only. The other host looked the route up again by path, in the version that it had in force, and merged with the number of records of that route. An older route of 5 records cut a bundle for an answer of 50; a route to one service made it empty; no route refused it, so that the caller's request failed for coverage.

Fix: the request carries the number of records, the attempts, the priority and the latency objective of the requesting host, and the other host looks no route up. The answer states the number of records with which it was merged; a bundle merged with another number is not used, and its parts are fetched directly. This covers hosts with an earlier build on either side: a request without limits is refused as not run.

Related paths: the requesting host keeps its version for retries, hedges and merging (read, and covered by the plan that a request holds). Limits of connections and of cold targets follow the newest version on purpose.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -31,6 +31,8 @@
   /// Services of the parts that are missing; empty if the host did not list
   /// them.
   std::vector<std::string> missing_services;
+  /// Maximum number of records with which another entry host merged the reply.
+  std::optional<std::uint32_t> top_records;
 
   bool success() const { return this->status / 100 == 2; }
 };
--- a/src/core/fan_out_bundles.cc
+++ b/src/core/fan_out_bundles.cc
@@ -77,8 +77,10 @@
                            TimePoint now) {
   Bundle& bundle = this->bundles[index];
   const std::size_t answered = reply.part_signatures.size();
+  // A bundle that was merged with another limit may lack records of its parts.
   const bool usable =
-      reply.success() && answered > 0 && answered <= bundle.parts.size();
+      reply.success() && answered > 0 && answered <= bundle.parts.size() &&
+      reply.top_records == this->request_plan.route->top_records;
   if (!usable) {
     this->OnBundleFailure(index,
                           reply.status == kStatusNotRun ? PartFailure::kRefused
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -14,6 +14,19 @@
 
 namespace auburnyard {
 
+/// Parts that an entry host requests from another one, with what their answer
+/// depends on of the route that the requesting host has in force. The other
+/// host may have another version of the routes.
+struct BundleRequest {
+  std::vector<std::string> shards;
+  /// Maximum number of parts that may be missing from the answer.
+  std::size_t max_missing_parts = 0;
+  std::uint32_t top_records = 0;
+  std::uint32_t max_attempts = 1;  ///< for each part
+  std::uint32_t priority = 0;
+  std::chrono::milliseconds latency_objective{0};
+};
+
 /// A caller's request, decoded.
 struct CallerRequest {
   std::string host;
@@ -23,11 +36,8 @@
   std::optional<std::chrono::milliseconds> caller_timeout;
   /// Time within which another entry host needs the answer.
   std::optional<std::chrono::milliseconds> answer_within;
-  /// Shards that another entry host requests; empty: all shards of the route.
-  std::vector<std::string> shards;
-  /// Maximum number of parts that may be missing from the answer to another
-  /// entry host.
-  std::size_t max_missing_parts = 0;
+  /// Set if the request names the parts that another entry host needs.
+  std::optional<BundleRequest> bundle;
   /// Request line and forwarded headers, without the terminating empty line.
   std::string forwarded_head;
   std::string body;
@@ -43,6 +53,8 @@
   std::vector<std::string> part_signatures;  ///< from another entry host
   /// Shards whose parts it does not contain.
   std::vector<std::string> missing_services;
+  /// Maximum number of records with which another entry host merged it.
+  std::optional<std::uint32_t> top_records;
   bool refused = false;       ///< the target did not run the request
   bool wrong_target = false;  ///< another target has this address
   bool encoded_body = false;  ///< the body is not the target's own bytes
@@ -70,15 +82,12 @@
   /// needed.
   std::function<std::string(std::chrono::milliseconds within)>
       encode_answer_within;
-  /// Headers that request some shards of the route from another entry host. Up
-  /// to `max_missing_parts` of them may be missing from its answer.
-  std::function<std::string(std::span<const std::string_view> shards,
-                            std::size_t max_missing_parts)>
-      encode_bundle;
-  /// Header with the shards that are missing from an answer to another entry
-  /// host.
-  std::function<std::string(std::span<const std::string> shards)>
-      encode_missing_services;
+  /// Headers that request parts from another entry host.
+  std::function<std::string(const BundleRequest& bundle)> encode_bundle;
+  /// Headers that are added to a merged answer for another entry host.
+  std::function<std::string(std::uint32_t top_records,
+                            std::span<const std::string> missing_services)>
+      encode_bundle_answer;
   /// Status line and headers of a merged answer.
   std::function<std::string(const FanOutResult& result)> encode_merged;
 };
--- a/src/relay/relay_job.h
+++ b/src/relay/relay_job.h
@@ -18,8 +18,8 @@
   std::shared_ptr<const RouteTable> table;  ///< in force at the arrival
   const Route* route = nullptr;
   bool from_peer = false;
-  /// Copy of the route with only the shards that another entry host requests.
-  std::optional<Route> partial_route;
+  /// Route of a bundle, as the requesting host described it.
+  std::optional<Route> bundle_route;
   TimePoint arrival{};
   TimePoint answer_by{};
   TimePoint deadline{};
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -34,6 +34,10 @@
 
 // Fewer parts of a remote failure domain are fetched directly.
 constexpr std::size_t kMinBundleParts = 2;
+// Name of the route of bundles in logs.
+constexpr std::string_view kBundleRouteName = "bundle";
+// Time for a bundle whose request names no time-out.
+constexpr milliseconds kMaxBundleTime{60'000};
 // Share of the repeats of a bundled part that the requesting host keeps, in
 // case the other host is lost.
 constexpr double kRequesterRepeatShare = 0.2;
@@ -139,6 +143,9 @@
                  "no configuration is known yet", respond);
     return nullptr;
   }
+  if (from_peer) {
+    return this->HandleBundle(std::move(request), std::move(respond));
+  }
   const Route* route = this->table->Find(request.host, request.path);
   if (route == nullptr && this->is_outdated()) {
     this->Refuse(request, kStatusUnavailable, "outdated_configuration",
@@ -150,8 +157,25 @@
                  respond);
     return nullptr;
   }
-  const RelayJobPtr job =
-      this->MakeJob(std::move(request), std::move(respond), *route, from_peer);
+  return this->StartCancellable(
+      this->MakeJob(std::move(request), std::move(respond), *route));
+}
+
+// The route is not looked up here: during a change, the version in force here
+// may differ from that of the requesting host, which merges the answer with
+// parts from other hosts.
+std::function<void()> RelayService::HandleBundle(CallerRequest request,
+                                                 Responder respond) {
+  if (!request.bundle) {
+    this->Refuse(request, kStatusUnavailable, "unreadable_bundle",
+                 "the request does not describe the parts it needs", respond);
+    return nullptr;
+  }
+  return this->StartCancellable(
+      this->MakeBundleJob(std::move(request), std::move(respond)));
+}
+
+std::function<void()> RelayService::StartCancellable(const RelayJobPtr& job) {
   this->Start(job);
   if (!job->cancel) {
     return nullptr;
@@ -198,40 +222,54 @@
 
 RelayJobPtr RelayService::MakeJob(CallerRequest request,
                                   Responder respond,
-                                  const Route& route,
-                                  bool from_peer) const {
+                                  const Route& route) const {
   const auto job = std::make_shared<RelayJob>();
   const TimePoint now = this->context.clock.Now();
   const milliseconds caller_timeout =
       std::min(request.caller_timeout.value_or(route.timeout), route.timeout);
-  milliseconds objective = route.latency_objective - kAnswerMargin;
-  if (from_peer && request.answer_within) {
-    objective = *request.answer_within;
-  }
+  const milliseconds objective = route.latency_objective - kAnswerMargin;
   job->table = this->table;
   job->route = &route;
-  job->from_peer = from_peer;
   job->arrival = now;
   job->deadline =
       now + std::max(caller_timeout - kDeadlineMargin, milliseconds(1));
   job->answer_by =
       std::min(job->deadline, now + std::max(objective, milliseconds(1)));
-  if (from_peer && !request.shards.empty()) {
-    job->partial_route = route;
-    const auto count = static_cast<double>(request.shards.size());
-    const auto max_missing = static_cast<double>(
-        std::min(request.max_missing_parts, request.shards.size() - 1));
-    // With more parts missing, the merged answer would miss its coverage as
-    // well, so waiting for them costs the requesting host nothing.
-    job->partial_route->min_coverage = (count - max_missing) / count;
-    job->partial_route->shards = std::move(request.shards);
-    job->route = &*job->partial_route;
-  }
   job->request = std::move(request);
   job->respond = std::move(respond);
   return job;
 }
 
+RelayJobPtr RelayService::MakeBundleJob(CallerRequest request,
+                                        Responder respond) const {
+  BundleRequest& bundle = *request.bundle;
+  const auto count = static_cast<double>(bundle.shards.size());
+  const auto max_missing = static_cast<double>(
+      std::min(bundle.max_missing_parts, bundle.shards.size() - 1));
+  Route route;
+  route.name = kBundleRouteName;
+  route.idempotent = true;  // as all routes that fan out
+  route.timeout = request.caller_timeout.value_or(kMaxBundleTime);
+  route.latency_objective = bundle.latency_objective;
+  route.max_attempts = bundle.max_attempts;
+  route.priority = bundle.priority;
+  route.top_records = bundle.top_records;
+  // With more parts missing, the merged answer would miss its coverage as well,
+  // so waiting for them costs the requesting host nothing.
+  route.min_coverage = (count - max_missing) / count;
+  route.shards = std::move(bundle.shards);
+  const milliseconds answer_within =
+      request.answer_within.value_or(route.latency_objective);
+  const RelayJobPtr job =
+      this->MakeJob(std::move(request), std::move(respond), route);
+  job->from_peer = true;
+  job->answer_by = std::min(
+      job->deadline, job->arrival + std::max(answer_within, milliseconds(1)));
+  job->bundle_route = std::move(route);
+  job->route = &*job->bundle_route;
+  return job;
+}
+
 std::vector<FarPart> RelayService::FindFarParts(const RelayJob& job) {
   const bool delegates = this->peers.delegates();
   const PlacementNeeds needs = this->NeedsOf(*job.route);
@@ -272,7 +310,7 @@
   plan.arrival = job.arrival;
   plan.answer_by = job.answer_by;
   plan.deadline = job.deadline;
-  plan.partial = job.partial_route.has_value();
+  plan.partial = job.from_peer;
   if (route.fans_out()) {
     plan.services.assign(route.shards.begin(), route.shards.end());
     plan.bundles = this->MakeBundles(job);
@@ -421,9 +459,9 @@
     this->LogOutcome(*job, request, result, latency);
   }
   CallerAnswer answer = this->MakeAnswer(result);
-  if (job->from_peer && !result.missing_services.empty()) {
-    answer.head +=
-        this->context.codec.encode_missing_services(result.missing_services);
+  if (job->from_peer && result.kind == FanOutResult::Kind::kMerged) {
+    answer.head += this->context.codec.encode_bundle_answer(
+        job->route->top_records, result.missing_services);
   }
   this->Respond(*job, request.request_id(), std::move(answer));
 }
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -69,10 +69,14 @@
     std::function<void()> cancel;  // once it is handled
   };
 
+  /// Handles a request of another entry host.
+  std::function<void()> HandleBundle(CallerRequest request, Responder respond);
   RelayJobPtr MakeJob(CallerRequest request,
                       Responder respond,
-                      const Route& route,
-                      bool from_peer) const;
+                      const Route& route) const;
+  RelayJobPtr MakeBundleJob(CallerRequest request, Responder respond) const;
+  /// Starts the job and returns a function that cancels it.
+  std::function<void()> StartCancellable(const RelayJobPtr& job);
   void Start(const RelayJobPtr& job);
   std::function<void()> Hold(CallerRequest request,
                              Responder respond,
--- a/src/relay/relayed_request.cc
+++ b/src/relay/relayed_request.cc
@@ -78,14 +78,18 @@
 
 void RelayedRequest::SendBundle(std::uint32_t index, const TargetPtr& host) {
   const FanOutPlan& plan = this->state_machine->plan();
-  std::vector<std::string_view> services;
+  BundleRequest bundle{
+      .max_missing_parts = this->state_machine->AllowedMissing(),
+      .top_records = plan.route->top_records,
+      .max_attempts = plan.route->max_attempts,
+      .priority = plan.route->priority,
+      .latency_objective = plan.route->latency_objective};
   for (const std::uint32_t part : plan.bundles[index].parts) {
-    services.push_back(plan.services[part]);
+    bundle.shards.emplace_back(plan.services[part]);
   }
   auto bundle_request =
       std::make_shared<TargetExchange::SharedRequest>(*this->shared);
-  bundle_request->head += this->context.codec.encode_bundle(
-      services, this->state_machine->AllowedMissing());
+  bundle_request->head += this->context.codec.encode_bundle(bundle);
   bundle_request->answer_by = plan.answer_by;
   bundle_request->work = nullptr;
   auto exchange = std::make_shared<TargetExchange>();
--- a/test/fan_out_bundle_test.cc
+++ b/test/fan_out_bundle_test.cc
@@ -19,6 +19,7 @@
                    std::vector<std::string> missing_services = {}) {
     RelayReply reply;
     reply.status = 200;
+    reply.top_records = this->merged_with;
     reply.missing_services = std::move(missing_services);
     for (std::size_t i = 0; i < answered; ++i) {
       reply.part_signatures.push_back("bundled");
@@ -26,6 +27,9 @@
     }
     this->fan_out->OnBundleReply(0, std::move(reply), At(ms));
   }
+
+  /// Maximum number of records with which the bundle was merged.
+  std::optional<std::uint32_t> merged_with = this->route.top_records;
 };
 
 std::size_t CountOf(const std::vector<std::string>& texts,
@@ -52,6 +56,31 @@
   BOOST_TEST(fixture.results.front().signatures.size() == 4U);
 }
 
+// Guards against records that are missing from the answer because the bundle
+// was merged with another limit, for example by a host with another build.
+BOOST_AUTO_TEST_CASE(BundleMergedWithAnotherLimitIsNotUsed) {
+  for (const std::optional<std::uint32_t> limit :
+       {std::optional<std::uint32_t>(1), std::optional<std::uint32_t>()}) {
+    BundleFixture fixture;
+    fixture.merged_with = limit;
+    fixture.Start();
+    fixture.SendAll();
+    fixture.fan_out->OnBundleSent(0);
+    fixture.Reply(0, 15);
+    fixture.BundleReply(3, 20);
+    BOOST_TEST(fixture.results.empty());
+    // The parts are fetched directly.
+    BOOST_REQUIRE_EQUAL(fixture.sent.size(), 4U);
+    fixture.SendAll();
+    for (std::size_t i = 1; i < 4; ++i) {
+      fixture.Reply(i, 30);
+    }
+    BOOST_REQUIRE_EQUAL(fixture.results.size(), 1U);
+    BOOST_TEST(fixture.results.front().missing_parts == 0U);
+    BOOST_TEST(CountOf(fixture.results.front().signatures, "bundled") == 0U);
+  }
+}
+
 // Guards against a host that refuses an entire bundle because a few parts are
 // missing, and against one that answers with too few parts although more may
 // arrive before the deadline.
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -135,12 +135,19 @@
              "X-Auburnyard-Request-Id: id\r\nX-Kept: yes\r\n");
 }
 
-// Guards against a bundle whose decoded shards differ from the requested ones.
+// Guards against a bundle that is decoded with other values than the requesting
+// host has for its route.
 BOOST_AUTO_TEST_CASE(BundleHeadersAreReadBack) {
   const RelayCodec codec = platform::MakeRelayCodec();
-  const std::vector<std::string_view> shards = {"a", "b", "c"};
+  const BundleRequest bundle{
+      .shards = {"a", "b", "c"},
+      .max_missing_parts = 4,
+      .top_records = 50,
+      .max_attempts = 2,
+      .priority = 1,
+      .latency_objective = std::chrono::milliseconds(250)};
   const std::string text =
-      "GET / HTTP/1.1\r\nHost: h\r\n" + codec.encode_bundle(shards, 4) + "\r\n";
+      "GET / HTTP/1.1\r\nHost: h\r\n" + codec.encode_bundle(bundle) + "\r\n";
   boost::beast::http::request_parser<boost::beast::http::string_body> parser;
   boost::beast::error_code error;
   parser.put(boost::asio::buffer(text), error);
@@ -148,13 +155,32 @@
   BeastRequest request = parser.release();
   request.set("Auburnyard-Answer-Within-Ms", "90");
   const CallerRequest decoded = codec.decode_request(std::move(request));
-  BOOST_TEST(decoded.shards == (std::vector<std::string>{"a", "b", "c"}),
+  BOOST_REQUIRE(decoded.bundle.has_value());
+  BOOST_TEST(decoded.bundle->shards == bundle.shards,
              boost::test_tools::per_element());
-  BOOST_TEST(decoded.max_missing_parts == 4U);
+  BOOST_TEST(decoded.bundle->max_missing_parts == 4U);
+  BOOST_TEST(decoded.bundle->top_records == 50U);
+  BOOST_TEST(decoded.bundle->max_attempts == 2U);
+  BOOST_TEST(decoded.bundle->priority == 1U);
+  BOOST_TEST(decoded.bundle->latency_objective.count() == 250);
   BOOST_TEST(decoded.answer_within->count() == 90);
   BOOST_TEST(decoded.forwarded_head == "GET / HTTP/1.1\r\nHost: h\r\n");
 }
 
+// Guards against a bundle whose limits are guessed because the requesting host
+// did not send them all.
+BOOST_AUTO_TEST_CASE(BundleWithoutLimitsIsNotDecoded) {
+  for (const char* limits : {"", "50", "50,2,1", "50,2,x,250", "-1,2,1,250"}) {
+    BeastRequest request = Request("/p/");
+    request.set("Auburnyard-Shards", "a,b");
+    request.set("Auburnyard-Bundle-Limits", limits);
+    BOOST_TEST(!platform::MakeRelayCodec()
+                    .decode_request(std::move(request))
+                    .bundle.has_value(),
+               limits);
+  }
+}
+
 // Guards against the requesting host counting parts that are missing from an
 // answer.
 BOOST_AUTO_TEST_CASE(MissingServicesAreReadBack) {
@@ -163,15 +189,16 @@
   FanOutResult result;
   result.signatures = {"s"};
   const std::string head = codec.encode_merged(result) +
-                           codec.encode_missing_services(missing_services) +
+                           codec.encode_bundle_answer(7, missing_services) +
                            "Content-Length: 0\r\n\r\n";
   boost::beast::http::response_parser<boost::beast::http::string_body> parser;
   boost::beast::error_code error;
   parser.put(boost::asio::buffer(head), error);
   BOOST_REQUIRE(!error);
-  BOOST_TEST(
-      codec.decode_reply(parser.get()).missing_services == missing_services,
-      boost::test_tools::per_element());
+  const ReplyHead decoded = codec.decode_reply(parser.get());
+  BOOST_TEST(decoded.missing_services == missing_services,
+             boost::test_tools::per_element());
+  BOOST_TEST((decoded.top_records == 7U));
 }
 
 // Guards against signatures of a merged answer being lost where the header is
