Answer every request before a stopped host ends

Cause: only the end of the process was known to the shutdown. RelayHost stopped the event loop then, whatever was in progress. Neither the deadline of a request nor the choice to send it took that time into account, and requests were accepted and sent for 3.2 s after SIGTERM.

Evidence: relay_process_test/ShutdownAnswersWhatCannotFinish sends 24 requests before and 6 after SIGTERM to targets that need 12 s.

Fix: ShutdownSchedule divides the time. Its answer time limits the deadline of every request from SIGTERM on. A request whose reply usually takes longer is not sent but refused at once as not run, also while it waits for a connection, so that its caller can use another host. What a target still runs at the answer time is answered with 502, or with the parts received if they cover enough. Why it works: all requests reach a final state before the answer time, which leaves 0.15 s for the writes; the loop ends after it.

A shutdown time shorter than the steps shortens them; before, the process was killed first.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -124,6 +124,8 @@
   void OnBundleReply(std::uint32_t index, RelayReply reply, TimePoint now);
   void OnBundleFailure(std::uint32_t index, PartFailure failure, TimePoint now);
   void OnTimer(TimePoint now);
+  /// Answers by `stop` at the latest, because the host shuts down.
+  void StopBy(TimePoint stop);
   /// The caller has disconnected.
   void Cancel();
   /// Time of the next call of OnTimer.
@@ -226,6 +228,8 @@
   std::size_t parts_missing_from_bundles = 0;  // still open
   std::uint32_t started_repeats = 0;
   bool no_target = false;  // a part failed because no target was available
+  /// Error of a request that is not answered by its deadline.
+  ErrorKind deadline_error = ErrorKind::kDeadlineExceeded;
   LossCounts loss_counts{};
   bool losses_counted = false;
   bool done = false;
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -238,7 +238,7 @@
     if (this->request_plan.partial && this->AnyAnswered()) {
       this->FinishMerged();
     } else {
-      this->FinishRefusal(ErrorKind::kDeadlineExceeded);
+      this->FinishRefusal(this->deadline_error);
     }
   }
 }
@@ -256,7 +256,7 @@
     this->CheckProgress(now);
   } else if (now >= this->request_plan.deadline) {
     this->CountLosses(now);
-    this->FinishRefusal(ErrorKind::kDeadlineExceeded);
+    this->FinishRefusal(this->deadline_error);
   }
   for (std::uint32_t i = 0; i < this->parts.size() && !this->done; ++i) {
     if (this->parts[i].hedge_at <= now) {
@@ -373,6 +373,15 @@
   return text;
 }
 
+void FanOut::StopBy(TimePoint stop) {
+  if (stop >= this->request_plan.deadline) {
+    return;
+  }
+  this->request_plan.deadline = stop;
+  this->request_plan.answer_by = std::min(this->request_plan.answer_by, stop);
+  this->deadline_error = ErrorKind::kShuttingDown;
+}
+
 void FanOut::Cancel() {
   if (!this->done) {
     this->done = true;
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -15,12 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSweepInterval{50};
-// The load balancer probes readiness once a second and removes the host after
-// two failures; new connections arrive until then.
-constexpr milliseconds kBalancerLag{3'200};
-// Requests still running are dropped this long before the process would be
-// killed.
-constexpr milliseconds kShutdownMargin{400};
 // Headers that a forwarding host adds.
 constexpr std::uint32_t kPeerHeaderBytes = 1024;
 // Longer than a forwarding host keeps an idle connection, so that it closes
@@ -111,7 +105,7 @@
   this->readiness = std::make_shared<HttpServer>(
       this->io, HttpServerLimits(),
       [this](const HttpRequest&, const HttpResponder& respond) {
-        const bool ready = !this->draining && this->follower.synchronized();
+        const bool ready = !this->draining() && this->follower.synchronized();
         respond({.status = ready ? 200 : kStatusUnavailable, .body = "{}"});
       });
   this->readiness->Listen(address.host, address.port);
@@ -181,7 +175,7 @@
 }
 
 void RelayHost::UpdateRegistration() {
-  if (this->registration == nullptr && !this->draining &&
+  if (this->registration == nullptr && !this->draining() &&
       this->follower.has_store_data() &&
       this->registration_choice.ShouldRegister(
           this->hosts.HostsInDomain(this->settings.failure_domain),
@@ -235,12 +229,13 @@
 }
 
 void RelayHost::OnTerminate() {
-  if (std::exchange(this->draining, true)) {
+  if (this->draining()) {
     return;
   }
   LogEvent(spdlog::level::info, "host_draining",
            {{"sessions", this->callers.sessions()}});
-  this->draining_since = this->clock.Now();
+  this->shutdown.emplace(this->clock.Now(), this->settings.shutdown_time);
+  this->service.StopBy(this->shutdown->answer_by());
   this->callers.CloseAfterResponses();
   this->peer_server.CloseAfterResponses();
   this->follower.StopMirroring();
@@ -258,12 +253,12 @@
   this->peers.Sweep();
   this->callers.Sweep();
   this->peer_server.Sweep();
-  const bool ready = this->follower.synchronized() && !this->draining;
+  const bool ready = this->follower.synchronized() && !this->draining();
   if (ready != this->was_ready) {
     this->was_ready = ready;
     LogEvent(spdlog::level::info, "readiness_changed", {{"ready", ready}});
   }
-  if (this->draining) {
+  if (this->draining()) {
     this->CheckDrained();
     if (this->io.stopped()) {
       return;
@@ -278,14 +273,14 @@
 }
 
 void RelayHost::CheckDrained() {
-  const Duration elapsed = this->clock.Now() - this->draining_since;
-  if (elapsed < kBalancerLag) {
+  const TimePoint now = this->clock.Now();
+  if (now < this->shutdown->accept_until()) {
     return;
   }
   this->callers.CloseIdle();
   this->peer_server.CloseIdle();
   const bool busy = this->callers.busy() || this->peer_server.busy();
-  if (!busy || elapsed > this->settings.shutdown_time - kShutdownMargin) {
+  if (!busy || now >= this->shutdown->exit_by()) {
     this->Finish();
   }
 }
--- a/src/relay/relay_host.h
+++ b/src/relay/relay_host.h
@@ -2,12 +2,14 @@
 #define AUBURNYARD_SRC_RELAY_RELAY_HOST_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "auburnyard/registration_choice.h"
+#include "auburnyard/shutdown_schedule.h"
 #include "src/net/http_server.h"
 #include "src/relay/caller_server.h"
 #include "src/relay/relay_settings.h"
@@ -46,6 +48,7 @@
   void OnTerminate();
   void OnReload();
   void Sweep();
+  bool draining() const { return this->shutdown.has_value(); }
   void CheckDrained();
   void Finish();
 
@@ -70,9 +73,8 @@
   std::shared_ptr<HttpServer> metrics_server;
   boost::asio::signal_set signals;
   boost::asio::steady_timer timer;
-  bool draining = false;
   bool was_ready = false;
-  TimePoint draining_since{};
+  std::optional<ShutdownSchedule> shutdown;  // once it has begun
   TimePoint next_burst_division{};
 };
 
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -220,6 +220,14 @@
   }
 }
 
+void RelayService::StopBy(TimePoint stop) {
+  this->stop_time = stop;
+  const auto present = this->running;
+  for (const std::shared_ptr<RelayedRequest>& request : present) {
+    request->StopBy(stop);
+  }
+}
+
 RelayJobPtr RelayService::MakeJob(CallerRequest request,
                                   Responder respond,
                                   const Route& route) const {
@@ -361,7 +369,14 @@
   const auto relayed = std::make_shared<RelayedRequest>(
       this->context, job->table, std::move(plan), std::move(job->request),
       std::move(hooks));
-  job->cancel = [relayed] { relayed->Cancel(); };
+  job->cancel = [this, relayed] {
+    this->running.erase(relayed);
+    relayed->Cancel();
+  };
+  this->running.insert(relayed);
+  if (this->stop_time != TimePoint::max()) {
+    relayed->StopBy(this->stop_time);
+  }
   relayed->Start();
 }
 
@@ -441,8 +456,9 @@
 }
 
 void RelayService::Finish(const RelayJobPtr& job,
-                          const RelayedRequest& request,
+                          RelayedRequest& request,
                           FanOutResult result) {
+  this->running.erase(request.shared_from_this());
   const Duration latency = this->context.clock.Now() - job->arrival;
   this->metrics.ObserveRequest(job->route->fans_out(), latency);
   if (result.kind == FanOutResult::Kind::kRefusal) {
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "auburnyard/bundle_grouping.h"
@@ -47,6 +48,9 @@
   void HoldUntilConfigured(TimePoint until) { this->hold_until = until; }
   /// Refuses held requests whose time has passed.
   void Sweep();
+  /// Answers all requests by `stop`, also those that arrive later, and refuses
+  /// those whose replies usually take longer.
+  void StopBy(TimePoint stop);
   /// Sets a function that returns whether routes may exist that this host has
   /// not received yet.
   void SetOutdatedCheck(std::function<bool()> check) {
@@ -91,7 +95,7 @@
   std::vector<PartBundle> MakeBundles(const RelayJob& job);
   void CountRequests(const RelayJob& job, const FanOutPlan& plan);
   void Finish(const RelayJobPtr& job,
-              const RelayedRequest& request,
+              RelayedRequest& request,
               FanOutResult result);
   void Respond(RelayJob& job, std::string_view request_id, CallerAnswer answer);
   void Refuse(const CallerRequest& request,
@@ -123,6 +127,8 @@
   BurstDivision division;
   std::shared_ptr<const RouteTable> table;
   std::vector<std::shared_ptr<HeldRequest>> held;
+  std::unordered_set<std::shared_ptr<RelayedRequest>> running;
+  TimePoint stop_time = TimePoint::max();
   TimePoint hold_until{};
   std::map<std::string, RepeatBudget, std::less<>> budgets;  // by service
   std::map<std::pair<std::chrono::milliseconds, std::uint32_t>,
--- a/src/relay/relayed_request.cc
+++ b/src/relay/relayed_request.cc
@@ -1,5 +1,6 @@
 #include "src/relay/relayed_request.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace auburnyard {
@@ -93,6 +94,7 @@
   bundle_request->answer_by = plan.answer_by;
   bundle_request->work = nullptr;
   auto exchange = std::make_shared<TargetExchange>();
+  this->bundle_requests.push_back(bundle_request);
   exchange->request = std::move(bundle_request);
   const auto self = this->shared_from_this();
   exchange->on_sent = [self, index] {
@@ -118,6 +120,17 @@
   attempt.pool->Abandon(attempt.exchange);
 }
 
+void RelayedRequest::StopBy(TimePoint stop) {
+  this->state_machine->StopBy(stop);
+  this->shared->stop = stop;
+  this->shared->deadline = std::min(this->shared->deadline, stop);
+  for (const auto& request : this->bundle_requests) {
+    request->stop = stop;
+    request->deadline = std::min(request->deadline, stop);
+  }
+  this->ArmTimer();
+}
+
 void RelayedRequest::Cancel() {
   const auto self = this->shared_from_this();
   this->state_machine->Cancel();
--- a/src/relay/relayed_request.h
+++ b/src/relay/relayed_request.h
@@ -41,6 +41,8 @@
 
   void Start();
   void Cancel();
+  /// Ends the request by `stop`, because the host shuts down.
+  void StopBy(TimePoint stop);
   const std::string& request_id() const { return this->shared->request_id; }
   const FanOut& fan_out() const { return *this->state_machine; }
 
@@ -65,6 +67,7 @@
   std::unique_ptr<FanOut> state_machine;
   std::vector<std::vector<Attempt>> attempts;  // by part
   std::vector<Attempt> bundles;
+  std::vector<std::shared_ptr<TargetExchange::SharedRequest>> bundle_requests;
   boost::asio::steady_timer timer;
   TimePoint timer_expiry = TimePoint::max();
 };
--- a/src/relay/target_exchange.h
+++ b/src/relay/target_exchange.h
@@ -21,6 +21,9 @@
     bool forwards_reply = false;  ///< the reply's headers are forwarded
     std::uint32_t priority = 0;
     TimePoint deadline{};
+    /// Time at which this host shuts down. A request whose reply usually takes
+    /// longer is not sent.
+    TimePoint stop = TimePoint::max();
     /// Estimate for the kind of request; null for bundles.
     std::shared_ptr<WorkEstimate> work;
     /// Time at which the answer of another entry host is needed; max: at the
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "auburnyard/hedging.h"
+#include "auburnyard/shutdown_schedule.h"
 #include "src/net/http_client.h"
 
 namespace auburnyard {
@@ -61,8 +62,15 @@
   }
 }
 
+bool TargetPool::MaySend(const TargetExchange& exchange, TimePoint now) const {
+  const TargetExchange::SharedRequest& request = *exchange.request;
+  return request.deadline > now &&
+         RepliesBefore(request.stop, *this->state, request.work.get(), now);
+}
+
 void TargetPool::Submit(TargetExchangePtr exchange) {
-  if (this->is_retired || this->waiting.size() >= kMaxWaiting) {
+  if (this->is_retired || this->waiting.size() >= kMaxWaiting ||
+      !this->MaySend(*exchange, this->context.clock.Now())) {
     asio::post(this->context.io, [exchange = std::move(exchange)] {
       exchange->Fail(PartFailure::kNotAdmitted);
     });
@@ -118,7 +126,7 @@
     }
     TargetExchangePtr work = std::move(this->waiting.front());
     this->waiting.pop_front();
-    if (work->request->deadline <= now) {
+    if (!this->MaySend(*work, now)) {
       work->Fail(PartFailure::kNotAdmitted);
       continue;
     }
@@ -331,11 +339,29 @@
       this->Remove(connection);
     }
   }
+  this->FailStopped(now);
   if (!this->waiting.empty()) {
     this->DispatchWaiting();
   }
 }
 
+void TargetPool::FailStopped(TimePoint now) {
+  std::vector<TargetExchangePtr> stopped;
+  std::copy_if(this->waiting.begin(), this->waiting.end(),
+               std::back_inserter(stopped),
+               [this, now](const TargetExchangePtr& exchange) {
+                 return exchange->request->stop != TimePoint::max() &&
+                        !this->MaySend(*exchange, now);
+               });
+  for (const TargetExchangePtr& exchange : stopped) {
+    std::erase(this->waiting, exchange);
+  }
+  this->UpdateWaiting();
+  for (const TargetExchangePtr& exchange : stopped) {
+    exchange->Fail(PartFailure::kNotAdmitted);
+  }
+}
+
 void TargetPool::Retire() {
   this->is_retired = true;
   this->FailWaiting(PartFailure::kNotAdmitted);
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -61,8 +61,13 @@
 
  private:
   void DispatchWaiting();
+  /// Fails waiting exchanges that cannot be sent before this host shuts down.
+  void FailStopped(TimePoint now);
   void Open();
   void Dispatch(const TargetConnectionPtr& connection, TargetExchangePtr work);
+  /// Whether the reply can be expected before the deadline and the shutdown of
+  /// this host.
+  bool MaySend(const TargetExchange& exchange, TimePoint now) const;
   TargetConnectionPtr TakeIdle();
   void OnConnected(const TargetConnectionPtr& connection, bool success);
   void OnEnd(const TargetConnectionPtr& connection, ExchangeEnd end);
--- a/test/relay_process_test.cc
+++ b/test/relay_process_test.cc
@@ -1,4 +1,6 @@
 #include <csignal>
+#include <map>
+#include <mutex>
 
 #include <boost/test/unit_test.hpp>
 
@@ -28,10 +30,13 @@
 
 class Fleet : public util::RelayFleet {
  public:
-  explicit Fleet(std::uint16_t base_port, std::size_t hosts_per_domain = 1)
+  explicit Fleet(std::uint16_t base_port,
+                 std::size_t hosts_per_domain = 1,
+                 milliseconds route_timeout = milliseconds(2'000))
       : RelayFleet({.program_directory = TEST_BINARY_DIR,
                     .base_port = base_port,
-                    .hosts_per_domain = hosts_per_domain}) {
+                    .hosts_per_domain = hosts_per_domain,
+                    .route_timeout = route_timeout}) {
     for (std::size_t i = 0; i < this->hosts(); ++i) {
       this->StartHost(i);
     }
@@ -220,6 +225,55 @@
   BOOST_TEST(unanswered == 0);
 }
 
+// Guards against requests that get no answer because they are still at a
+// target, or wait for a connection, when the time for a graceful shutdown ends.
+// This includes those that arrive late, on new connections.
+BOOST_AUTO_TEST_CASE(ShutdownAnswersWhatCannotFinish) {
+  constexpr milliseconds kRouteTimeout{20'000};
+  constexpr milliseconds kLongDeadline{15'000};
+  constexpr int kCallers = 24;  // more than the host has connections
+  constexpr int kLateCallers = 6;
+  Fleet fleet(25'900, 1, kRouteTimeout);
+  for (std::size_t i = 0; i < 2; ++i) {
+    fleet.target(i).faults.delay_ms = 12'000;
+  }
+  std::mutex mutex;
+  std::map<std::string, int> statuses;  // 0: no answer
+  const auto call = [&](const std::string& id) {
+    int status = 0;
+    try {
+      status = fleet.Get(0, "/one/x", id, kLongDeadline).status;
+    } catch (const Error&) {
+      status = 0;
+    }
+    const std::lock_guard lock(mutex);
+    statuses[id] = status;
+  };
+  const auto arrivals = [&fleet] {
+    return fleet.target(0).arrivals() + fleet.target(1).arrivals();
+  };
+  std::vector<std::jthread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back(call, "early-" + std::to_string(i));
+  }
+  BOOST_TEST(Eventually([&] { return arrivals() > 0; }));
+  fleet.SignalHost(0, SIGTERM);
+  std::this_thread::sleep_for(milliseconds(2'500));
+  for (int i = 0; i < kLateCallers; ++i) {
+    callers.emplace_back(call, "late-" + std::to_string(i));
+  }
+  callers.clear();
+  BOOST_TEST(fleet.WaitForExit(0));
+  BOOST_TEST(statuses.size() == kCallers + kLateCallers);
+  for (const auto& [id, status] : statuses) {
+    const bool ran = fleet.target(0).executions().contains(id) ||
+                     fleet.target(1).executions().contains(id);
+    // 503 guarantees that the request did not run.
+    BOOST_TEST((status == 502 || status == 504 || (status == 503 && !ran)),
+               id << ": " << status);
+  }
+}
+
 // Guards against a second execution after lost answers or failures of targets.
 BOOST_AUTO_TEST_CASE(NonIdempotentRequestsRunAtMostOnce) {
   Fleet fleet(25'500);
--- a/util/relay_standin/relay_fleet.cc
+++ b/util/relay_standin/relay_fleet.cc
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr std::size_t kReplicas = 2;
-constexpr int kTimeoutMs = 2'000;
 constexpr int kTargetLatencyMs = 300;
 // Hosts whose mirror addresses are in the settings of every host.
 constexpr std::size_t kSeedHosts = 3;
@@ -27,12 +26,14 @@
 // Added to the deadline sent to the entry host.
 constexpr std::chrono::seconds kCallTimeoutMargin{4};
 
-boost::json::object RouteObject(std::string_view name, std::string_view kind) {
+boost::json::object RouteObject(std::string_view name,
+                                std::string_view kind,
+                                std::chrono::milliseconds timeout) {
   return {{"name", name},
           {"host", "fleet.example"},
           {"prefix", "/" + std::string(name) + "/"},
           {"route_type", kind},
-          {"timeout_ms", kTimeoutMs},
+          {"timeout_ms", timeout.count()},
           {"target_latency_ms", kTargetLatencyMs},
           {"priority", 1},
           {"max_attempts", 2},
@@ -177,7 +178,8 @@
 }
 
 void RelayFleet::PutRoutes(std::uint64_t version) {
-  boost::json::object all = RouteObject("all", "idempotent");
+  boost::json::object all =
+      RouteObject("all", "idempotent", this->options.route_timeout);
   boost::json::array shards;
   boost::json::array services;
   for (std::size_t i = 0; i < this->options.services; ++i) {
@@ -188,10 +190,11 @@
   all["gather"] = std::move(shards);
   all["top_k"] = kTopRecords;
   all["min_coverage"] = 0.5;
-  boost::json::object one = RouteObject("one", "non_idempotent");
+  boost::json::object one =
+      RouteObject("one", "non_idempotent", this->options.route_timeout);
   one["service"] = "s0";
-  boost::json::object mark =
-      RouteObject("v" + std::to_string(version), "idempotent");
+  boost::json::object mark = RouteObject(
+      "v" + std::to_string(version), "idempotent", this->options.route_timeout);
   mark["service"] = "s1";
   this->store_standin->Put(
       "op/config",
--- a/util/relay_standin/relay_fleet.h
+++ b/util/relay_standin/relay_fleet.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_UTIL_RELAY_STANDIN_RELAY_FLEET_H_
 #define AUBURNYARD_UTIL_RELAY_STANDIN_RELAY_FLEET_H_
 
+#include <chrono>
 #include <filesystem>
 #include <memory>
 #include <string>
@@ -29,6 +30,8 @@
     std::uint16_t base_port = 24'000;
     std::size_t hosts_per_domain = 1;
     std::size_t services = 6;
+    /// Timeout of all routes.
+    std::chrono::milliseconds route_timeout{2'000};
   };
 
   explicit RelayFleet(Options options);
