Place waiting requests again when their target leaves

Callers of requests that may run once got 502, because a target that was being replaced ended while it held them, although its replacement had room.

Cause: a request is bound to a target when it is placed. Draining targets and evacuated domains were excluded from the choice only; requests that waited in the pool of such a target were sent whenever a connection became free. Only the removal of a registration returned them.

Evidence: waiting_request_test, a host with one connection, which a reply occupies, and two requests that wait. On the code before, the cases of a drain, an evacuation and an evacuation found in a read of all keys failed: the requests waited for their deadline of 15 s. The removal passed.

Fix: the pool knows whether its target may receive requests, and TargetTable updates it with every change that the choice depends on. Requests that wait are returned and placed again, or refused at once as not run if no other target may receive them. The pool asks again right before it sends. Returned requests keep their place: pools order by priority and by arrival at the host. Why it works: nothing is sent to a target without this question, and every change of its answer reaches the pool.

--- a/src/relay/relayed_request.cc
+++ b/src/relay/relayed_request.cc
@@ -23,6 +23,7 @@
   this->shared->idempotent = plan.route->idempotent;
   this->shared->forwards_reply = !plan.route->fans_out();
   this->shared->priority = plan.route->priority;
+  this->shared->arrival = plan.arrival;
   this->shared->deadline = plan.deadline;
   this->shared->work = plan.work;
   this->state_machine =
--- a/src/relay/target_exchange.h
+++ b/src/relay/target_exchange.h
@@ -20,6 +20,7 @@
     bool idempotent = false;
     bool forwards_reply = false;  ///< the reply's headers are forwarded
     std::uint32_t priority = 0;
+    TimePoint arrival{};  ///< of the caller's request
     TimePoint deadline{};
     /// Time at which this host shuts down. A request whose reply usually takes
     /// longer is not sent.
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -8,6 +8,7 @@
 #include "auburnyard/hedging.h"
 #include "auburnyard/shutdown_schedule.h"
 #include "src/net/http_client.h"
+#include "src/net/log.h"
 
 namespace auburnyard {
 
@@ -64,12 +65,12 @@
 
 bool TargetPool::MaySend(const TargetExchange& exchange, TimePoint now) const {
   const TargetExchange::SharedRequest& request = *exchange.request;
-  return request.deadline > now &&
+  return !this->is_retired && this->admitting && request.deadline > now &&
          RepliesBefore(request.stop, *this->state, request.work.get(), now);
 }
 
 void TargetPool::Submit(TargetExchangePtr exchange) {
-  if (this->is_retired || this->waiting.size() >= kMaxWaiting ||
+  if (this->waiting.size() >= kMaxWaiting ||
       !this->MaySend(*exchange, this->context.clock.Now())) {
     asio::post(this->context.io, [exchange = std::move(exchange)] {
       exchange->Fail(PartFailure::kNotAdmitted);
@@ -79,7 +80,9 @@
   const auto position = std::find_if(
       this->waiting.begin(), this->waiting.end(),
       [&exchange](const TargetExchangePtr& other) {
-        return other->request->priority > exchange->request->priority;
+        return std::pair(other->request->priority, other->request->arrival) >
+               std::pair(exchange->request->priority,
+                         exchange->request->arrival);
       });
   this->waiting.insert(position, std::move(exchange));
   this->UpdateWaiting();
@@ -362,6 +365,17 @@
   }
 }
 
+void TargetPool::SetAdmitting(bool admits) {
+  this->admitting = admits;
+  if (admits || this->waiting.empty()) {
+    return;
+  }
+  LogEvent(
+      spdlog::level::info, "waiting_requests_returned",
+      {{"target", this->state->entry().id}, {"count", this->waiting.size()}});
+  this->FailWaiting(PartFailure::kNotAdmitted);
+}
+
 void TargetPool::Retire() {
   this->is_retired = true;
   this->FailWaiting(PartFailure::kNotAdmitted);
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -41,6 +41,9 @@
   void Sweep();
   /// Fails queued exchanges and closes connections as they become idle.
   void Retire();
+  /// Sets whether the target may receive exchanges. If not, those that wait for
+  /// a connection and new ones fail, and those in progress go on.
+  void SetAdmitting(bool admits);
 
   /// Sets how long the reply to an abandoned exchange may still take. Zero: the
   /// connection is closed at the next sweep, which cancels the request at the
@@ -91,6 +94,7 @@
   Duration preconnect_delay{};             // doubles until a reply arrives
   std::chrono::seconds probe_interval{0};  // 0: none
   bool is_retired = false;
+  bool admitting = true;
 };
 
 }  // namespace auburnyard
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -95,6 +95,7 @@
   if (entry.remaining_warm_up > milliseconds(0)) {
     state.SetColdUntil(cold_until);
   }
+  this->UpdateAdmission(*found->second);
   return significant;
 }
 
@@ -117,6 +118,7 @@
   auto pool =
       std::make_shared<TargetPool>(this->context, state, std::move(hooks));
   this->ApplyLimits(*pool);
+  this->UpdateAdmission(*pool);
   this->pools[entry.id] = pool;
   this->by_service[entry.service].push_back(state);
   LogEvent(spdlog::level::info, "target_added",
@@ -183,11 +185,25 @@
   } else {
     this->evacuated.erase(std::string(domain));
   }
+  this->UpdateAdmissions();
 }
 
 void TargetTable::ResetEvacuated(
     const std::set<std::string, std::less<>>& domains) {
   this->evacuated = domains;
+  this->UpdateAdmissions();
+}
+
+// A request is bound to a target when it is placed, but may wait for a
+// connection for seconds. Requests that have to leave are placed again.
+void TargetTable::UpdateAdmission(TargetPool& pool) const {
+  pool.SetAdmitting(this->MayReceive(*pool.target(), {}));
+}
+
+void TargetTable::UpdateAdmissions() const {
+  for (const auto& [id, pool] : this->pools) {
+    this->UpdateAdmission(*pool);
+  }
 }
 
 void TargetTable::SetRoutes(std::shared_ptr<const RouteTable> table) {
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -21,8 +21,9 @@
 /// Failure domains of the deployment, by name, with their regions.
 using DomainRegions = std::map<std::string, std::string, std::less<>>;
 
-/// All registered targets with their pools. Targets are chosen only here, so
-/// that draining and evacuated ones are excluded in a single place.
+/// All registered targets with their pools. Draining and evacuated targets are
+/// excluded only here, from the choice as well as from the requests that wait
+/// for a connection.
 class TargetTable {
  public:
   struct Location {
@@ -90,6 +91,10 @@
   bool TryAcquireColdRequest(const TargetState& target);
   bool MayReceive(const TargetState& target,
                   std::span<const std::string> allowed_regions) const;
+  /// Passes on to the pool whether its target may receive requests. Called for
+  /// every change that MayReceive depends on.
+  void UpdateAdmission(TargetPool& pool) const;
+  void UpdateAdmissions() const;
   void Add(const TargetEntry& entry);
   void Discard(std::string_view id);
   void UpdateConnectionShare();
--- a/test/relay_service_fixture.h
+++ b/test/relay_service_fixture.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -125,13 +126,24 @@
     this->released.notify_all();
   }
   std::string address() const { return this->server.address(); }
-  int arrivals() const { return this->arrival_count; }
+  int arrivals() const { return static_cast<int>(this->order().size()); }
+  /// Identifiers of the requests in the order of their arrival.
+  std::vector<std::string> order() const {
+    const std::lock_guard lock(this->mutex);
+    return this->arrived;
+  }
 
  private:
+  void OnArrival(const std::string& head) {
+    const std::lock_guard lock(this->mutex);
+    this->arrived.push_back(HeaderOf(head, platform::kRequestId));
+  }
+
   std::atomic<bool> released{false};
-  std::atomic<int> arrival_count{0};
+  mutable std::mutex mutex;
+  std::vector<std::string> arrived;
   ScriptedServer server{[this](const std::string& head) {
-    ++this->arrival_count;
+    this->OnArrival(head);
     this->released.wait(false);
     return TargetReply(head, "held");
   }};
