Place waiting requests again when their target becomes cold

Evidence: waiting_request_test/RequestsLeaveATargetThatBecomesCold and .../RequestsLeaveATargetThatRepliesAsCold failed with the new return switched off: a host without a share in the rate sent three requests in place of one.

Fix: when a registration or a reply shows that a target has become cold, and its service states a rate, what waits is returned and placed again, which counts it. Targets without a rate keep their requests.

--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -266,9 +266,13 @@
   if (end.head.load) {
     this->state->OnLoad(*end.head.load, now);
   }
+  const bool was_cold = this->state->Cold(now);
   if (end.head.remaining_warm_up) {
     this->state->SetColdUntil(now + *end.head.remaining_warm_up);
   }
+  if (!was_cold && this->state->Cold(now) && this->hooks.on_cold) {
+    this->hooks.on_cold(this->state);
+  }
   if (end.complete && end.head.refused) {
     this->state->OnRefused(sent_at, now);
   } else if (!end.complete || end.head.status >= kFirstServerError) {
@@ -367,7 +371,13 @@
 
 void TargetPool::SetAdmitting(bool admits) {
   this->admitting = admits;
-  if (admits || this->waiting.empty()) {
+  if (!admits) {
+    this->ReturnWaiting();
+  }
+}
+
+void TargetPool::ReturnWaiting() {
+  if (this->waiting.empty()) {
     return;
   }
   LogEvent(
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -20,6 +20,8 @@
   struct Hooks {
     /// Called when another target answered at the address. May be empty.
     std::function<void(const TargetPtr&)> on_wrong_target;
+    /// Called when a reply shows that the target has become cold. May be empty.
+    std::function<void(const TargetPtr&)> on_cold;
   };
 
   TargetPool(const RelayContext& context, TargetPtr target, Hooks hooks);
@@ -44,6 +46,9 @@
   /// Sets whether the target may receive exchanges. If not, those that wait for
   /// a connection and new ones fail, and those in progress go on.
   void SetAdmitting(bool admits);
+  /// Fails the exchanges that wait for a connection, so that their requests are
+  /// placed again.
+  void ReturnWaiting();
 
   /// Sets how long the reply to an abandoned exchange may still take. Zero: the
   /// connection is closed at the next sweep, which cancels the request at the
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -91,11 +91,16 @@
   const Duration shift = cold_until - std::max(state.cold_until(), now);
   const bool significant = returned || DiffersBeyondCountdown(known, entry) ||
                            std::chrono::abs(shift) > kWarmUpTolerance;
+  const bool was_cold = state.Cold(now);
   state.SetEntry(entry);
   if (entry.remaining_warm_up > milliseconds(0)) {
     state.SetColdUntil(cold_until);
   }
-  this->UpdateAdmission(*found->second);
+  const PoolPtr pool = found->second;
+  this->UpdateAdmission(*pool);
+  if (!was_cold && state.Cold(now)) {
+    this->OnCold(*pool);
+  }
   return significant;
 }
 
@@ -115,6 +120,12 @@
       this->Discard(std::string(target->entry().id));
     }
   };
+  hooks.on_cold = [this](const TargetPtr& target) {
+    const auto found = this->pools.find(target->entry().id);
+    if (found != this->pools.end() && found->second->target() == target) {
+      this->OnCold(*found->second);
+    }
+  };
   auto pool =
       std::make_shared<TargetPool>(this->context, state, std::move(hooks));
   this->ApplyLimits(*pool);
@@ -314,20 +325,33 @@
   return costs;
 }
 
+double TargetTable::ColdRate(const TargetState& target) const {
+  const ServiceLimits* limits =
+      this->routes == nullptr ? nullptr
+                              : this->routes->Service(target.entry().service);
+  if (limits == nullptr || limits->warm_up_requests_per_second <= 0) {
+    return 0;
+  }
+  return limits->warm_up_requests_per_second * this->cold_limits.rate_factor +
+         this->cold_limits.rate_margin;
+}
+
+// Requests that wait were placed while the target was warm, and so were not
+// counted by its cold rate.
+void TargetTable::OnCold(TargetPool& pool) const {
+  if (this->ColdRate(*pool.target()) > 0) {
+    pool.ReturnWaiting();
+  }
+}
+
 // Returns true if the target is warm, or if its cold rate admits one more
 // request of this host now.
 bool TargetTable::TryAcquireColdRequest(const TargetState& target) {
   const TimePoint now = this->context.clock.Now();
-  const ServiceLimits* limits =
-      this->routes == nullptr ? nullptr
-                              : this->routes->Service(target.entry().service);
-  if (!target.Cold(now) || limits == nullptr ||
-      limits->warm_up_requests_per_second <= 0) {
+  const double allowed = this->ColdRate(target);
+  if (!target.Cold(now) || allowed <= 0) {
     return true;
   }
-  const double allowed =
-      limits->warm_up_requests_per_second * this->cold_limits.rate_factor +
-      this->cold_limits.rate_margin;
   const std::string& id = target.entry().id;
   const std::size_t sharing = this->hosts.SharingHostCount(now);
   const std::size_t rank =
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -89,6 +89,11 @@
                      std::span<const TargetPtr> excluded,
                      const PlacementNeeds& needs) const;
   bool TryAcquireColdRequest(const TargetState& target);
+  /// Rate in requests per second that all hosts together may send to the target
+  /// while it is cold; 0: not limited.
+  double ColdRate(const TargetState& target) const;
+  /// Returns the requests that wait for a target which has become cold.
+  void OnCold(TargetPool& pool) const;
   bool MayReceive(const TargetState& target,
                   std::span<const std::string> allowed_regions) const;
   /// Passes on to the pool whether its target may receive requests. Called for
--- a/test/relay_service_fixture.h
+++ b/test/relay_service_fixture.h
@@ -29,12 +29,13 @@
 
 /// Reply of a target that ran the request with the given head.
 inline ScriptedReply TargetReply(const std::string& request_head,
-                                 const std::string& body) {
+                                 const std::string& body,
+                                 std::string_view headers = "") {
   return {"HTTP/1.1 200 OK\r\n" + std::string(platform::kRequestId) + ": " +
           HeaderOf(request_head, platform::kRequestId) + "\r\n" +
           std::string(platform::kSignature) + ": " + body.substr(0, 1) +
-          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-          body};
+          "\r\n" + std::string(headers) +
+          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
 }
 
 /// The parts of an entry host that handle a request, with the real clock.
@@ -44,7 +45,9 @@
   using AnswerPtr = std::shared_ptr<std::optional<CallerAnswer>>;
 
   /// One route, /p/, to the service "s".
-  void SetRoute(bool idempotent, std::chrono::milliseconds timeout) {
+  void SetRoute(bool idempotent,
+                std::chrono::milliseconds timeout,
+                double warm_up_requests_per_second = 0) {
     Route route;
     route.name = "p";
     route.host = "h";
@@ -56,7 +59,10 @@
     route.services = {{.service = "s"}};
     this->service.SetRoutes(std::make_shared<RouteTable>(
         1, std::vector<Route>{std::move(route)},
-        std::map<std::string, ServiceLimits, std::less<>>(), CallerLimits()));
+        std::map<std::string, ServiceLimits, std::less<>>{
+            {"s",
+             {.warm_up_requests_per_second = warm_up_requests_per_second}}},
+        CallerLimits()));
   }
   static TargetEntry Entry(std::string id, std::string address) {
     return {.id = std::move(id),
@@ -119,6 +125,8 @@
 /// A target that answers only once it is released.
 class HoldingTarget {
  public:
+  explicit HoldingTarget(std::string headers = "")
+      : reply_headers(std::move(headers)) {}
   ~HoldingTarget() { this->Release(); }
 
   void Release() {
@@ -139,13 +147,14 @@
     this->arrived.push_back(HeaderOf(head, platform::kRequestId));
   }
 
+  std::string reply_headers;
   std::atomic<bool> released{false};
   mutable std::mutex mutex;
   std::vector<std::string> arrived;
   ScriptedServer server{[this](const std::string& head) {
     this->OnArrival(head);
     this->released.wait(false);
-    return TargetReply(head, "held");
+    return TargetReply(head, "held", this->reply_headers);
   }};
 };
 
--- a/test/waiting_request_test.cc
+++ b/test/waiting_request_test.cc
@@ -20,8 +20,11 @@
 // first of three requests.
 class WaitingFixture : public RelayServiceFixture {
  public:
-  WaitingFixture() {
-    this->SetRoute(/*idempotent=*/false, milliseconds(15'000));
+  explicit WaitingFixture(double warm_up_requests_per_second = 0,
+                          std::string reply_headers = "")
+      : old_target(std::move(reply_headers)) {
+    this->SetRoute(/*idempotent=*/false, milliseconds(15'000),
+                   warm_up_requests_per_second);
     this->targets.Upsert(Entry("old", this->old_target.address()));
     this->first = this->Ask("first");
     BOOST_REQUIRE(
@@ -147,6 +150,41 @@
   fixture.CheckOldTargetGotNothingMore();
 }
 
+// Guards against requests that were placed at a warm target and reach it after
+// it has become cold, in excess of its rate. This host has no share in the
+// rate, because it is not registered.
+BOOST_AUTO_TEST_CASE(RequestsLeaveATargetThatBecomesCold) {
+  WaitingFixture fixture(/*warm_up_requests_per_second=*/1);
+  TargetEntry cold = WaitingFixture::Entry("old", fixture.old_target.address());
+  cold.remaining_warm_up = milliseconds(60'000);
+  cold.sequence = 1;
+  fixture.targets.Upsert(cold);
+  BOOST_TEST(
+      fixture.RunUntil([&fixture] { return fixture.BothWaitingAnswered(); }));
+  BOOST_TEST((*fixture.second)->head.starts_with("HTTP/1.1 503"));
+  fixture.CheckOldTargetGotNothingMore();
+}
+
+// Guards against the same if a reply reports it.
+BOOST_AUTO_TEST_CASE(RequestsLeaveATargetThatRepliesAsCold) {
+  WaitingFixture fixture(/*warm_up_requests_per_second=*/1,
+                         "X-Auburnyard-Warmup-Ms: 60000\r\n");
+  fixture.CheckOldTargetGotNothingMore();
+  BOOST_TEST(
+      fixture.RunUntil([&fixture] { return fixture.BothWaitingAnswered(); }));
+  BOOST_TEST((*fixture.second)->head.starts_with("HTTP/1.1 503"));
+}
+
+// Guards against requests that leave a cold target although it states no rate.
+BOOST_AUTO_TEST_CASE(RequestsStayAtAColdTargetWithoutARate) {
+  WaitingFixture fixture(/*warm_up_requests_per_second=*/0,
+                         "X-Auburnyard-Warmup-Ms: 60000\r\n");
+  fixture.old_target.Release();
+  BOOST_TEST(
+      fixture.RunUntil([&fixture] { return fixture.BothWaitingAnswered(); }));
+  BOOST_TEST((*fixture.second)->body == "held");
+}
+
 // Guards against a domain that gets no requests after its evacuation has ended.
 BOOST_AUTO_TEST_CASE(DomainReceivesRequestsAfterItsEvacuation) {
   WaitingFixture fixture;
