--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -7,6 +7,7 @@
 #include "platform/documents.h"
 #include "platform/relay_codec.h"
 #include "platform/store_codec.h"
+#include "test/property.h"
 
 namespace auburnyard {
 
@@ -102,6 +103,79 @@
   BOOST_CHECK_THROW(platform::DecodeTarget("t", "\xff{"), Error);
 }
 
+// Guards against a host that ends, or stops following the store, because
+// another writer left an odd entry among the registrations.
+BOOST_AUTO_TEST_CASE(OddRegistrationsAreErrors) {
+  constexpr std::size_t kDepth = 100'000;
+  std::vector<std::string> texts = {
+      "",
+      "null",
+      "[]",
+      "\"text\"",
+      "{",
+      std::string(kDepth, '['),
+      std::string(kDepth, '[') + std::string(kDepth, ']'),
+      "\xff{"};
+  std::string nested = boost::json::serialize(Registration());
+  nested.pop_back();
+  nested +=
+      ",\"more\":" + std::string(kDepth, '[') + std::string(kDepth, ']') + "}";
+  texts.push_back(nested);
+  for (const char* field :
+       {"slots", "warmup_left_ms", "seq_num", "born", "service"}) {
+    for (const char* number :
+         {"1e999", "1e308", "-1", "99999999999999999999999999", "-1e308"}) {
+      boost::json::object entry = Registration();
+      entry.erase(field);
+      std::string text = boost::json::serialize(entry);
+      text.pop_back();
+      texts.push_back(text + ",\"" + field + "\":" + number + "}");
+    }
+  }
+  for (const char* address :
+       {"", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "127.0.0.1:-1",
+        "127.0.0.1:8x", "127.0.0.1:99999999999999999999", "::1",
+        "[::1]:", "999.0.0.1:80", "name:80", "127.0.0.1:80\r\nX: y"}) {
+    boost::json::object entry = Registration();
+    entry["address"] = address;
+    texts.push_back(boost::json::serialize(entry));
+  }
+  for (const std::string& text : texts) {
+    BOOST_CHECK_THROW(platform::DecodeTarget("t", text), Error);
+  }
+}
+
+// Guards against the same for random changes of a registration.
+BOOST_AUTO_TEST_CASE(ChangedRegistrationsAreReadOrErrors) {
+  constexpr std::uint64_t kSeed = 20261205;
+  const std::string whole = boost::json::serialize(Registration());
+  const std::string failure = test::CounterExample(
+      kSeed,
+      [&whole](const std::vector<std::pair<std::uint16_t, char>>& changes) {
+        std::string text = whole;
+        for (const auto& [position, byte] : changes) {
+          text[position % text.size()] = byte;
+        }
+        try {
+          platform::DecodeTarget("t", text);
+        } catch (const Error&) {
+          RC_TAG("error");
+        }
+      });
+  BOOST_TEST(failure.empty(), failure);
+}
+
+// Guards against bytes of a registration's key that would end the header in
+// which the identifier is sent.
+BOOST_AUTO_TEST_CASE(IdentifiersFitIntoAHeader) {
+  const std::string text = boost::json::serialize(Registration());
+  BOOST_TEST(platform::DecodeTarget("i-7f3a91c2", text).id == "i-7f3a91c2");
+  for (const char* id :
+       {"", "a b", "a\r\nX-Kept: yes", "a\n", "\t", "\x7f", "\xc3\xa4"}) {
+    BOOST_CHECK_THROW(platform::DecodeTarget(id, text), Error);
+  }
+}
+
 // Guards against values being altered by their encoding in the store.
 BOOST_AUTO_TEST_CASE(Base64KeepsAllBytes) {
   std::string bytes;
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -108,6 +108,42 @@
   BOOST_TEST(HasStatus(fixture.AnswerWithoutRoute(), kStatusNotFound));
 }
 
+// Guards against a host that ends, or follows the store no longer, because of
+// odd entries among the registrations, in its first read and among later
+// changes.
+BOOST_AUTO_TEST_CASE(OddRegistrationsAreSkipped) {
+  const auto registration = [](int port) {
+    return R"({"service":"s","address":"127.0.0.1:)" + std::to_string(port) +
+           R"(","zone":"d1","version":"v1","slots":2,"state":"ready",)"
+           R"("warmup_left_ms":0,"seq_num":1})";
+  };
+  FollowerFixture fixture;
+  const auto put_odd = [&](const std::string& prefix) {
+    fixture.store.Put("servers/" + prefix + "nested",
+                      std::string(100'000, '['));
+    fixture.store.Put("servers/" + prefix + "port", registration(70'000));
+    fixture.store.Put("servers/" + prefix + "number",
+                      R"({"slots":1e999,"seq_num":99999999999999999999})");
+    fixture.store.Put("servers/" + prefix + "key\r\nX: y", registration(80));
+    fixture.store.Put("servers/", registration(80));
+    fixture.store.Put("hosts/" + prefix + "odd", R"({"address":7})");
+  };
+  put_odd("a");
+  fixture.store.Put("servers/first", registration(81));
+  BOOST_REQUIRE(fixture.Eventually([&fixture] {
+    return fixture.targets.size() == 1 && fixture.store.pending_watches() > 0;
+  }));
+  put_odd("b");
+  fixture.store.Put("servers/second", registration(82));
+  BOOST_TEST(
+      fixture.Eventually([&fixture] { return fixture.targets.size() == 2; }));
+  // A registration that becomes odd names no target any more.
+  fixture.store.Put("servers/first", registration(70'000));
+  BOOST_TEST(
+      fixture.Eventually([&fixture] { return fixture.targets.size() == 1; }));
+  BOOST_TEST(fixture.targets.Replicas("s") == 1U);
+}
+
 // Guards against a host that considers its data current after the first page of
 // changes, while the store has more.
 BOOST_AUTO_TEST_CASE(DataIsNotCurrentWhileChangesArePending) {
--- a/test/target_pool_test.cc
+++ b/test/target_pool_test.cc
@@ -114,6 +114,24 @@
   BOOST_TEST((result.failure == PartFailure::kLost));
 }
 
+// Guards against a reply that breaks off in its head, or after it, being
+// forwarded as a whole one with an empty or short body.
+BOOST_AUTO_TEST_CASE(ReplyThatBreaksOffIsLost) {
+  const std::string whole = Reply("id", "body", "200 OK", "X-Kept: 1\r\n");
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nX-Auburnyard-Request-Id: id\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  for (const std::string& bytes : {whole, chunked}) {
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      const auto result = ExchangeWith(
+          {bytes.substr(0, size), size % 2 == 0 ? ScriptedReply::Then::kClose
+                                                : ScriptedReply::Then::kReset});
+      BOOST_TEST((result.failure == PartFailure::kLost), size);
+      BOOST_TEST(!result.reply.has_value(), size);
+    }
+  }
+}
+
 // Guards against a target that sends an endless reply: a host that reads on
 // exhausts its memory and never answers the caller.
 BOOST_AUTO_TEST_CASE(EndlessRepliesAreAborted) {
