--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -176,6 +176,42 @@
   }
 }
 
+// Guards against times that overflow when they are added to the clock.
+BOOST_AUTO_TEST_CASE(TimesInHeadersAreBounded) {
+  const RelayCodec codec = platform::MakeRelayCodec();
+  constexpr std::chrono::hours kDay{24};
+  for (const char* text : {"9223372036854775807", "-9223372036854775808",
+                           "86400001", "-1", "99999999999999999999", "x"}) {
+    BeastResponse reply;
+    reply.set("X-Auburnyard-Warmup-Ms", text);
+    const auto warm_up = codec.decode_reply(reply).remaining_warm_up;
+    BOOST_TEST((!warm_up || (warm_up->count() >= 0 && *warm_up <= kDay)), text);
+    BeastRequest request = Request("/p/");
+    request.set("X-Auburnyard-Deadline-Ms", text);
+    request.set("Auburnyard-Answer-Within-Ms", text);
+    const CallerRequest decoded = codec.decode_request(std::move(request));
+    for (const auto& time : {decoded.caller_timeout, decoded.answer_within}) {
+      BOOST_TEST((!time || (time->count() >= 0 && *time <= kDay)), text);
+    }
+  }
+}
+
+// Guards against a target that attracts requests because the numbers of its
+// load overflow the estimate of its delay.
+BOOST_AUTO_TEST_CASE(LoadIsBounded) {
+  const RelayCodec codec = platform::MakeRelayCodec();
+  const auto load_of = [&codec](const char* text) {
+    BeastResponse reply;
+    reply.set("X-Auburnyard-Server-Load", text);
+    return codec.decode_reply(reply).load;
+  };
+  BOOST_TEST(load_of("3,1,8")->waiting == 1U);
+  for (const char* text : {"4294967295,0,8", "0,4294967295,8", "0,0,4294967295",
+                           "99999999999,0,8", "3,1", "3,,8"}) {
+    BOOST_TEST(!load_of(text).has_value(), text);
+  }
+}
+
 // Guards against values being altered by their encoding in the store.
 BOOST_AUTO_TEST_CASE(Base64KeepsAllBytes) {
   std::string bytes;
