Answer queries of the product's interface before a stopped host ends

Fix: QueryService limits the deadline of every query, running or submitted later, to 0.15 s before the end, where the state machine gives its final answer or refusal as at any deadline. Not covered: a query that still waits for its claim then.

--- a/include/auburnyard/query_machine.h
+++ b/include/auburnyard/query_machine.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_QUERY_MACHINE_H_
 #define AUBURNYARD_QUERY_MACHINE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -129,6 +130,11 @@
   /// non-idempotent one continues until its outcome is known.
   std::vector<QueryAction> OnCallerGone(TimePoint now);
 
+  /// Moves the deadline to `limit` if that is earlier.
+  void LimitDeadline(TimePoint limit) {
+    this->deadline_at = std::min(this->deadline_at, limit);
+  }
+
   /// Time of the next OnTimer call; empty when finished.
   std::optional<TimePoint> NextTimer() const;
   bool finished() const { return this->is_finished; }
--- a/src/daemon/entry_host.cc
+++ b/src/daemon/entry_host.cc
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds kGateTimerInterval{5};
 constexpr std::chrono::milliseconds kDispatcherInterval{50};
 constexpr std::chrono::milliseconds kDrainProbeInterval{1000};
+// Time for the last answers to be written before the process ends.
+constexpr std::chrono::milliseconds kAnswerTime{150};
 constexpr std::chrono::milliseconds kGossipInterval{500};
 constexpr std::chrono::milliseconds kSweepInterval{500};
 constexpr std::chrono::milliseconds kIdleCheckInterval{20};
@@ -464,6 +466,7 @@
   this->server->StopAccepting();
   this->membership->Leave();
   this->shutdown_deadline = this->clock.Now() + this->settings.shutdown_timeout;
+  this->queries.StopBy(this->shutdown_deadline - kAnswerTime);
   this->FinishWhenIdle();
 }
 
--- a/src/daemon/query_service.cc
+++ b/src/daemon/query_service.cc
@@ -176,9 +176,40 @@
           }
         });
   }
-  running->Start([this, query](QueryOutcome outcome) {
+  const TimePoint stop = this->Register(running);
+  running->Start([this, query, weak = std::weak_ptr<RunningQuery>(running)](
+                     QueryOutcome outcome) {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->started.erase(weak);
+    }
     this->Finish(query, std::move(outcome));
   });
+  if (stop != TimePoint::max()) {
+    running->StopBy(stop);
+  }
+}
+
+TimePoint QueryService::Register(const std::shared_ptr<RunningQuery>& query) {
+  const std::lock_guard lock(this->mutex);
+  this->started.insert(query);
+  return this->stop_time;
+}
+
+void QueryService::StopBy(TimePoint stop) {
+  std::vector<std::shared_ptr<RunningQuery>> present;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stop_time = stop;
+    for (const std::weak_ptr<RunningQuery>& weak : this->started) {
+      if (std::shared_ptr<RunningQuery> query = weak.lock()) {
+        present.push_back(std::move(query));
+      }
+    }
+  }
+  for (const std::shared_ptr<RunningQuery>& query : present) {
+    query->StopBy(stop);
+  }
 }
 
 void QueryService::Finish(const std::shared_ptr<Context>& query,
--- a/src/daemon/query_service.h
+++ b/src/daemon/query_service.h
@@ -4,6 +4,8 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -44,6 +46,8 @@
   void Submit(const QueryRequest& request,
               const std::shared_ptr<DisconnectNotifier>& disconnect_notifier,
               Callback callback);
+  /// Answers all queries by `stop`, also those that are submitted later.
+  void StopBy(TimePoint stop);
   std::size_t running() const { return this->running_count.load(); }
 
  private:
@@ -53,6 +57,9 @@
   void OnVerdict(const std::shared_ptr<Context>& query,
                  const ClaimVerdict& verdict);
   void Start(const std::shared_ptr<Context>& query);
+  /// Registers a query that starts. Returns the time by which it must be
+  /// answered.
+  TimePoint Register(const std::shared_ptr<RunningQuery>& query);
   void Finish(const std::shared_ptr<Context>& query, QueryOutcome outcome);
   void RecordClaim(const Context& query, const QueryOutcome& outcome);
   RunningQueryHooks MakeHooks(const std::shared_ptr<Context>& query);
@@ -64,6 +71,9 @@
   std::string start_nonce;
   std::atomic<std::uint64_t> next_query{0};
   std::atomic<std::size_t> running_count{0};
+  std::mutex mutex;  // guards the members below
+  TimePoint stop_time = TimePoint::max();
+  std::set<std::weak_ptr<RunningQuery>, std::owner_less<>> started;
 };
 
 }  // namespace auburnyard
--- a/src/daemon/running_query.cc
+++ b/src/daemon/running_query.cc
@@ -27,6 +27,13 @@
       [](QueryMachine& state, TimePoint now) { return state.Start(now); });
 }
 
+void RunningQuery::StopBy(TimePoint stop) {
+  this->Run([stop](QueryMachine& state, TimePoint /*now*/) {
+    state.LimitDeadline(stop);
+    return std::vector<QueryAction>();
+  });
+}
+
 void RunningQuery::Abandon() {
   this->Run([](QueryMachine& state, TimePoint now) {
     return state.OnCallerGone(now);
--- a/src/daemon/running_query.h
+++ b/src/daemon/running_query.h
@@ -55,6 +55,8 @@
 
   /// The callback runs once, unless the caller abandons an idempotent query.
   void Start(Callback callback);
+  /// Answers by `stop` at the latest, because the host shuts down.
+  void StopBy(TimePoint stop);
   /// The caller closed its connection.
   void Abandon();
 
