Decode the bundle of a test before its check

clang-tidy reports a use after the move of the request, because the check expands to a loop around it. The decoded request is a variable of its own now; the check is the same.

--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -284,10 +284,9 @@
     BeastRequest request = Request("/p/");
     request.set("Auburnyard-Shards", "a,b");
     request.set("Auburnyard-Bundle-Limits", limits);
-    BOOST_TEST(!platform::MakeRelayCodec()
-                    .decode_request(std::move(request))
-                    .bundle.has_value(),
-               limits);
+    const CallerRequest decoded =
+        platform::MakeRelayCodec().decode_request(std::move(request));
+    BOOST_TEST(!decoded.bundle.has_value(), limits);
   }
 }
 
