Let the stand-ins lose answers, answer slowly and drop one direction

- The store stand-in withholds the answers of all calls under kLostAnswers, also those of watches that wait when a key changes, and can delay answers.
- A route of the forwarder can hold back replies only.
- The fleet of entry hosts has an option for further hosts in one failure domain, sets the change limit, and keeps logs if asked.
Each version of its configuration moves a route to another service, adds one and drops one.
- A process that is started again appends to its log, so that the log of the run that broke a rule is not overwritten.

--- a/test/tcp_forwarder_test.cc
+++ b/test/tcp_forwarder_test.cc
@@ -81,6 +81,19 @@
   BOOST_TEST(this->Call().status == 200);
 }
 
+// Guards against a path that is cut in one direction only and still delivers
+// replies, or does not deliver requests.
+BOOST_FIXTURE_TEST_CASE(DroppedRepliesArriveAfterRestoration, Fixture) {
+  this->route->SetState(RouteState::kDropReplies);
+  auto response =
+      std::async(std::launch::async, [this] { return this->Call(); });
+  BOOST_TEST((response.wait_for(std::chrono::milliseconds(100)) ==
+              std::future_status::timeout));
+  BOOST_TEST(this->received == 1);
+  this->route->SetState(RouteState::kPass);
+  BOOST_TEST(response.get().body.size() == 100'000U);
+}
+
 // Guards against a drop that loses bytes permanently: after a real outage of
 // the path, TCP retransmits them.
 BOOST_FIXTURE_TEST_CASE(DroppedTrafficArrivesAfterRestoration, Fixture) {
--- a/util/experiment/child_process.cc
+++ b/util/experiment/child_process.cc
@@ -30,8 +30,9 @@
   arguments.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
+  // A process that is started again keeps the log of the one before it.
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(),
-                                   O_WRONLY | O_CREAT | O_TRUNC, 0644);
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
   const int error = posix_spawn(&this->pid, command.front().c_str(), &actions,
                                 nullptr, arguments.data(), environ);
--- a/util/relay_standin/relay_fleet.cc
+++ b/util/relay_standin/relay_fleet.cc
@@ -48,8 +48,12 @@
                  std::to_string(this->options.base_port))),
       work(boost::asio::make_work_guard(this->io)),
       store_standin(std::make_unique<StoreStandin>(this->io)),
-      processes(kDomains * this->options.hosts_per_domain) {
+      processes(kDomains * this->options.hosts_per_domain +
+                this->options.extra_hosts) {
   std::filesystem::create_directories(this->directory);
+  if (!this->options.log_directory.empty()) {
+    std::filesystem::create_directories(this->options.log_directory);
+  }
   this->store_standin->Listen();
   for (std::size_t i = 0; i < kDomains; ++i) {
     this->store_routes.push_back(this->Forward(this->store_standin->address()));
@@ -125,8 +129,8 @@
   }
   const boost::json::object settings = {
       {"host", "h" + std::to_string(host)},
-      {"failure_domain", DomainOf(host)},
-      {"region", "r" + std::to_string(host % kDomains)},
+      {"failure_domain", DomainOf(this->DomainIndex(host))},
+      {"region", "r" + std::to_string(this->DomainIndex(host))},
       {"domain_regions", regions},
       {"listen",
        {{"callers", address(0)},
@@ -136,7 +140,9 @@
       {"store",
        {{"address",
          "127.0.0.1:" +
-             std::to_string(this->store_routes.at(host % kDomains)->port())},
+             std::to_string(
+                 this->store_routes.at(this->DomainIndex(host))->port())},
+        {"change_limit_ms", this->options.change_limit.count()},
         {"mirrors", std::move(mirrors)}}},
       {"shutdown_time_s", 6},
       {"repeats", {{"ratio", 0.2}, {"burst", 60}, {"window_s", 10}}},
@@ -151,7 +157,9 @@
   this->processes.at(host) = std::make_unique<ChildProcess>(
       std::vector<std::string>{this->options.program_directory + "/auburnyardd",
                                "--relay", this->WriteSettings(host)},
-      this->directory / ("h" + std::to_string(host) + ".log"));
+      (this->options.log_directory.empty() ? this->directory
+                                           : this->options.log_directory) /
+          ("h" + std::to_string(host) + ".log"));
 }
 
 void RelayFleet::SignalHost(std::size_t host, int number) const {
@@ -199,11 +207,17 @@
   boost::json::object one =
       RouteObject("one", "non_idempotent", this->options.route_timeout);
   one["service"] = "s0";
-  boost::json::object mark = RouteObject(
-      "v" + std::to_string(version), "idempotent", this->options.route_timeout);
-  mark["service"] = "s1";
   routes.push_back(std::move(one));
-  routes.push_back(std::move(mark));
+  boost::json::object moved =
+      RouteObject("moved", "idempotent", this->options.route_timeout);
+  moved["service"] = this->targets.at(this->MovedTarget(version))->service();
+  routes.push_back(std::move(moved));
+  for (std::uint64_t mark = version; HasMark(version, mark); --mark) {
+    boost::json::object added = RouteObject(
+        "v" + std::to_string(mark), "idempotent", this->options.route_timeout);
+    added["service"] = "s1";
+    routes.push_back(std::move(added));
+  }
   this->store_standin->Put(
       "op/config", boost::json::serialize(
                        boost::json::object{{"version", version},
@@ -211,6 +225,10 @@
                                            {"services", std::move(services)}}));
 }
 
+std::size_t RelayFleet::MovedTarget(std::uint64_t version) const {
+  return version % this->options.services * kReplicas;
+}
+
 void RelayFleet::Register(std::size_t target, bool draining) {
   this->store_standin->Put("servers/" + this->targets.at(target)->id(),
                            this->targets.at(target)->Registration(draining));
--- a/util/relay_standin/relay_fleet.h
+++ b/util/relay_standin/relay_fleet.h
@@ -23,14 +23,22 @@
 /// and the targets in this process. Three failure domains in three regions;
 /// service "s<i>" has two targets in neighbouring domains. Route /all/ fans out
 /// to all of them, route /one/ goes to "s0" and is not idempotent. Odd versions
-/// of the routes have a route /all/short/ with fewer records below /all/.
+/// of the routes have a route /all/short/ with fewer records below /all/. Each
+/// version moves the route /moved/ to the next service, adds the route
+/// /v<version>/ and drops that of kMarkVersions versions before.
 class RelayFleet {
  public:
   struct Options {
     std::string program_directory;  ///< contains auburnyardd
     std::uint16_t base_port = 24'000;
     std::size_t hosts_per_domain = 1;
+    /// Further hosts in the first domain.
+    std::size_t extra_hosts = 0;
     std::size_t services = 6;
+    /// Time within which a configuration must be in force.
+    std::chrono::milliseconds change_limit{3'000};
+    /// Receives the logs of the hosts; empty: they are deleted at the end.
+    std::filesystem::path log_directory;
     /// Timeout of all routes.
     std::chrono::milliseconds route_timeout{2'000};
   };
@@ -59,10 +67,14 @@
     return this->processes.at(host) != nullptr;
   }
   std::string Address(std::size_t host) const;
+  /// Failure domain of a host.
+  std::size_t DomainIndex(std::size_t host) const {
+    return host < kDomains * this->options.hosts_per_domain ? host % kDomains
+                                                            : 0;
+  }
   bool Ready(std::size_t host) const;
 
-  /// Writes a configuration to the store. Its extra route /v<version>/ shows
-  /// whether a host has applied it.
+  /// Writes a configuration to the store.
   void PutRoutes(std::uint64_t version);
   void Register(std::size_t target, bool draining = false);
   void Unregister(std::size_t target);
@@ -71,6 +83,15 @@
   /// All records of the route /all/, merged.
   std::string MergedRecords() const;
 
+  /// Number of versions that have a route /v<version>/.
+  static constexpr std::uint64_t kMarkVersions = 3;
+  /// Target index whose record a version's route /moved/ returns.
+  std::size_t MovedTarget(std::uint64_t version) const;
+  /// Whether a version has the route /v<mark>/.
+  static bool HasMark(std::uint64_t version, std::uint64_t mark) {
+    return mark > 0 && mark <= version && mark + kMarkVersions > version;
+  }
+
   /// Maximum number of records of /all/ and of /all/short/.
   static constexpr std::size_t kTopRecords = 64;
   static constexpr std::size_t kShortTopRecords = 2;
--- a/util/relay_standin/store_standin.cc
+++ b/util/relay_standin/store_standin.cc
@@ -53,6 +53,11 @@
   this->fault = new_fault;
 }
 
+void StoreStandin::SetDelay(std::chrono::milliseconds delay) {
+  const std::lock_guard lock(this->mutex);
+  this->answer_delay = delay;
+}
+
 std::uint64_t StoreStandin::calls(const std::string& path) const {
   const std::lock_guard lock(this->mutex);
   const auto found = this->call_counts.find(path);
@@ -136,17 +141,18 @@
   for (const std::shared_ptr<PendingWatch>& watch : this->watches) {
     if (watch->after < this->compacted_revision) {
       watch->timer->cancel();
-      watch->respond({.status = kGone, .body = "{}"});
+      this->Answer(watch->respond, {.status = kGone, .body = "{}"});
       continue;
     }
     boost::json::object events = this->EventsAfter(watch->prefix, watch->after);
-    if (this->fault != StoreFault::kNone ||
-        events.at("events").as_array().empty()) {
+    const bool answers = this->fault == StoreFault::kNone ||
+                         this->fault == StoreFault::kLostAnswers;
+    if (!answers || events.at("events").as_array().empty()) {
       remaining.push_back(watch);
       continue;
     }
     watch->timer->cancel();
-    watch->respond(Json(events));
+    this->Answer(watch->respond, Json(events));
   }
   this->watches = std::move(remaining);
 }
@@ -157,16 +163,11 @@
   const std::string call = request.path.substr(0, request.path.find('/', 1));
   ++this->call_counts[call];
   if (this->fault == StoreFault::kSilent) {
-    // No reply is sent; the connection stays open until the server stops.
-    auto held = std::make_shared<boost::asio::steady_timer>(
-        this->context, std::chrono::minutes(10));
-    held->async_wait([held, respond](boost::system::error_code) {
-      respond({.status = kUnavailable});
-    });
+    this->Withhold(respond);
     return;
   }
   if (this->fault == StoreFault::kBusy) {
-    respond({.status = kUnavailable, .body = "{}"});
+    this->Answer(respond, {.status = kUnavailable, .body = "{}"});
     return;
   }
   if (call == "/kv-range") {
@@ -189,8 +190,33 @@
     if (response.close) {
       response.status = kUnavailable;
     }
+    this->Answer(respond, std::move(response));
+  }
+}
+
+void StoreStandin::Answer(const HttpResponder& respond,
+                          HttpResponse response) const {
+  if (this->fault == StoreFault::kLostAnswers) {
+    this->Withhold(respond);
+    return;
+  }
+  if (this->answer_delay.count() == 0) {
     respond(std::move(response));
+    return;
   }
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->context,
+                                                           this->answer_delay);
+  timer->async_wait(
+      [timer, respond, delayed = std::move(response)](
+          boost::system::error_code) mutable { respond(std::move(delayed)); });
+}
+
+void StoreStandin::Withhold(const HttpResponder& respond) const {
+  auto held = std::make_shared<boost::asio::steady_timer>(
+      this->context, std::chrono::minutes(10));
+  held->async_wait([held, respond](boost::system::error_code) {
+    respond({.status = kUnavailable});
+  });
 }
 
 void StoreStandin::Range(const HttpRequest& request,
@@ -211,9 +237,9 @@
                     {"revision", it->second.revision},
                     {"lease_id", it->second.lease}});
   }
-  respond(Json({{"items", std::move(page)},
-                {"has_more", more},
-                {"at_rev", this->revision}}));
+  this->Answer(respond, Json({{"items", std::move(page)},
+                              {"has_more", more},
+                              {"at_rev", this->revision}}));
 }
 
 void StoreStandin::Watch(const HttpRequest& request,
@@ -233,8 +259,8 @@
     }
     const std::lock_guard lock(this->mutex);
     if (std::erase(this->watches, waiting) != 0) {
-      waiting->respond(
-          Json(this->EventsAfter(waiting->prefix, waiting->after)));
+      this->Answer(waiting->respond,
+                   Json(this->EventsAfter(waiting->prefix, waiting->after)));
     }
   });
   this->watches.push_back(std::move(watch));
--- a/util/relay_standin/store_standin.h
+++ b/util/relay_standin/store_standin.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_UTIL_RELAY_STANDIN_STORE_STANDIN_H_
 #define AUBURNYARD_UTIL_RELAY_STANDIN_STORE_STANDIN_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -25,6 +26,7 @@
   kSilent,       ///< no replies
   kBusy,         ///< 503
   kLostReplies,  ///< writes are applied, their replies are lost
+  kLostAnswers,  ///< calls are processed, no answer is sent
 };
 
 /// Small stand-in for the platform's store: keys, watches, leases. Thread-safe.
@@ -40,6 +42,8 @@
   void Put(const std::string& key, std::string value);
   void Remove(const std::string& key);
   void SetFault(StoreFault fault);
+  /// Delays all answers.
+  void SetDelay(std::chrono::milliseconds delay);
   /// Watches from earlier revisions get 410.
   void CompactHistory();
   void RevokeAllLeases();
@@ -78,6 +82,10 @@
   boost::json::object EventsAfter(std::string_view prefix,
                                   std::uint64_t after) const;
   void NotifyWatches();
+  /// Sends an answer under the current fault and delay.
+  void Answer(const HttpResponder& respond, HttpResponse response) const;
+  /// Never answers; the connection stays open.
+  void Withhold(const HttpResponder& respond) const;
 
   boost::asio::io_context& context;
   std::shared_ptr<HttpServer> server;
@@ -91,6 +99,7 @@
   std::uint64_t compacted_revision = 0;
   std::uint64_t next_lease = 1;
   StoreFault fault = StoreFault::kNone;
+  std::chrono::milliseconds answer_delay{0};
 };
 
 }  // namespace auburnyard::util
--- a/util/tcp_forwarder/forwarded_connection.cc
+++ b/util/tcp_forwarder/forwarded_connection.cc
@@ -23,12 +23,13 @@
                .is_dropping = [this] { return this->hooks.is_dropping(); },
                .on_end = [this] { this->OnEnd(this->server); },
                .on_error = [this] { this->Close(); }}),
-      reverse(server,
-              client,
-              {.delay = [this] { return this->hooks.delays().reverse; },
-               .is_dropping = [this] { return this->hooks.is_dropping(); },
-               .on_end = [this] { this->OnEnd(this->client); },
-               .on_error = [this] { this->Close(); }}) {}
+      reverse(
+          server,
+          client,
+          {.delay = [this] { return this->hooks.delays().reverse; },
+           .is_dropping = [this] { return this->hooks.is_dropping_replies(); },
+           .on_end = [this] { this->OnEnd(this->client); },
+           .on_error = [this] { this->Close(); }}) {}
 
 // The kernel accepts the client's connection without the delays of the route.
 // The round trip of the handshake is made up for before the connection to the
--- a/util/tcp_forwarder/forwarded_connection.h
+++ b/util/tcp_forwarder/forwarded_connection.h
@@ -20,7 +20,8 @@
  public:
   struct Hooks {
     std::function<RouteDelays()> delays;
-    std::function<bool()> is_dropping;
+    std::function<bool()> is_dropping;  ///< from the client to the server
+    std::function<bool()> is_dropping_replies;
   };
 
   ForwardedConnection(boost::asio::ip::tcp::socket client,
@@ -28,7 +29,7 @@
                       Hooks hooks);
 
   void Start();
-  /// Continues forwarding after the route has left the state kDrop.
+  /// Continues forwarding after the state of the route has changed.
   void Resume();
   /// Closes both sockets with a TCP reset.
   void Reset();
--- a/util/tcp_forwarder/forwarder_control.h
+++ b/util/tcp_forwarder/forwarder_control.h
@@ -11,10 +11,10 @@
 
 /// HTTP control interface of tcp-forwarder:
 ///   GET  /v1/routes   state and open connections of each route
-///   POST /v1/control  {"routes": [names], "groups": [names], "state": "pass" |
-///                     "cut" | "drop", "delay_ms", "forward_delay_ms",
-///                     "reverse_delay_ms"}; without "routes" and
-///                     "groups" it applies to all routes
+///   POST /v1/control  {"routes": [names], "groups": [names],
+///                     "state": "pass" | "cut" | "drop" | "drop_replies",
+///                     "delay_ms", "forward_delay_ms", "reverse_delay_ms"};
+///                     without "routes" and "groups" it applies to all routes
 class ForwarderControl {
  public:
   explicit ForwarderControl(std::vector<std::shared_ptr<Route>> routes);
--- a/util/tcp_forwarder/route.cc
+++ b/util/tcp_forwarder/route.cc
@@ -24,6 +24,8 @@
       return "cut";
     case RouteState::kDrop:
       return "drop";
+    case RouteState::kDropReplies:
+      return "drop_replies";
     case RouteState::kPass:
       break;
   }
@@ -81,6 +83,12 @@
               [weak = this->weak_from_this()] {
                 const auto route = weak.lock();
                 return route && route->state() == RouteState::kDrop;
+              },
+          .is_dropping_replies =
+              [weak = this->weak_from_this()] {
+                const auto route = weak.lock();
+                return route && (route->state() == RouteState::kDrop ||
+                                 route->state() == RouteState::kDropReplies);
               }});
   bool cut = false;
   {
@@ -112,7 +120,7 @@
   for (const auto& connection : this->Connections()) {
     if (state == RouteState::kCut) {
       connection->Reset();
-    } else if (state == RouteState::kPass) {
+    } else {
       connection->Resume();
     }
   }
--- a/util/tcp_forwarder/route_options.cc
+++ b/util/tcp_forwarder/route_options.cc
@@ -53,8 +53,12 @@
   if (name == "drop") {
     return RouteState::kDrop;
   }
-  throw Error(ErrorKind::kBadRequest,
-              "state: expected \"pass\", \"cut\" or \"drop\"");
+  if (name == "drop_replies") {
+    return RouteState::kDropReplies;
+  }
+  throw Error(
+      ErrorKind::kBadRequest,
+      "state: expected \"pass\", \"cut\", \"drop\" or \"drop_replies\"");
 }
 
 std::vector<RouteOptions> ParseRouteFile(std::string_view json) {
--- a/util/tcp_forwarder/route_options.h
+++ b/util/tcp_forwarder/route_options.h
@@ -13,8 +13,9 @@
 /// How a route handles its traffic.
 enum class RouteState {
   kPass,
-  kCut,   ///< resets open and newly accepted connections
-  kDrop,  ///< holds data in both directions until the state changes
+  kCut,          ///< resets open and newly accepted connections
+  kDrop,         ///< holds data in both directions until the state changes
+  kDropReplies,  ///< the same, only from the server to the client
 };
 
 /// One-way delays of a route.
