Log and count how late configurations come into force, and why

- configuration_in_force names the source (read, watch, mirror), the revision and the age of the data that it replaces, the upper bound of its delay; auburnyard_relay_configuration_delay_seconds has the distribution.
- store_lost has waited_ms, store_regained outage_ms; store_confirmed shows how long a read stayed unconfirmed.
- Calls to the store and to mirrors count timed_out apart from failure.
- A refusal names the version that it was judged by.

--- a/src/relay/mirror_reader.cc
+++ b/src/relay/mirror_reader.cc
@@ -112,7 +112,7 @@
   const bool answered = result.error.empty();
   const bool success = answered && result.response.status == kStatusOk;
   const std::uint64_t sent_generation = this->generation;
-  this->hooks.on_call("mirror", success);
+  this->hooks.on_call("mirror", OutcomeOf(result));
   if (success && this->ApplyPage(result.response)) {
     return;
   }
--- a/src/relay/mirror_reader.h
+++ b/src/relay/mirror_reader.h
@@ -11,6 +11,7 @@
 
 #include "src/net/http_client.h"
 #include "src/relay/relay_context.h"
+#include "src/relay/store_call_outcome.h"
 #include "src/relay/store_codec.h"
 
 namespace auburnyard {
@@ -28,7 +29,8 @@
     std::function<void(const StorePage& page, bool is_snapshot)> on_page;
     /// The mirror did not answer, or its answer could not be decoded.
     std::function<void()> on_failure;
-    std::function<void(std::string_view kind, bool success)> on_call;
+    std::function<void(std::string_view kind, StoreCallOutcome outcome)>
+        on_call;
   };
 
   MirrorReader(const RelayContext& context,
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -190,8 +190,8 @@
             {"neighbours",
              this->hosts.HostsInDomain(this->settings.failure_domain).size()}});
   StoreRegistration::Hooks hooks;
-  hooks.on_call = [this](std::string_view kind, bool success) {
-    this->metrics.CountStoreCall(kind, success);
+  hooks.on_call = [this](std::string_view kind, StoreCallOutcome outcome) {
+    this->metrics.CountStoreCall(kind, outcome);
   };
   this->registration = std::make_shared<StoreRegistration>(
       this->context, this->adapter.store,
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -35,6 +35,11 @@
           this->all.Histogram(kLatency, kLatencyHelp, {{"route", "fan_out"}})),
       single_latency(
           this->all.Histogram(kLatency, kLatencyHelp, {{"route", "single"}})),
+      configuration_delay(this->all.Histogram(
+          "auburnyard_relay_configuration_delay_seconds",
+          "Age of the data that a configuration replaced when it came into "
+          "force.",
+          {})),
       store_data_age(
           this->all.Gauge("auburnyard_relay_knowledge_age_seconds",
                           "Age of the last answer of the store or of a mirror.",
@@ -90,12 +95,17 @@
   this->revision.Set(static_cast<double>(known));
 }
 
-void RelayMetrics::CountStoreCall(std::string_view kind, bool success) {
+void RelayMetrics::ObserveConfigurationDelay(Duration age) {
+  this->configuration_delay.Observe(age);
+}
+
+void RelayMetrics::CountStoreCall(std::string_view kind,
+                                  StoreCallOutcome outcome) {
   this->all
       .Counter("auburnyard_relay_store_calls_total",
                "Calls to the store by kind and outcome.",
                {{"kind", std::string(kind)},
-                {"outcome", success ? "success" : "failure"}})
+                {"outcome", std::string(ToString(outcome))}})
       .Add();
 }
 
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -6,6 +6,7 @@
 #include "auburnyard/fan_out.h"
 #include "auburnyard/loss_cause.h"
 #include "src/net/metrics_registry.h"
+#include "src/relay/store_call_outcome.h"
 
 namespace auburnyard {
 
@@ -20,7 +21,10 @@
   void ObserveRequest(bool fans_out, Duration latency);
   /// Counts missing parts by cause.
   void CountLosses(const LossCounts& losses);
-  void CountStoreCall(std::string_view kind, bool success);
+  void CountStoreCall(std::string_view kind, StoreCallOutcome outcome);
+  /// Records the upper bound of the delay of a configuration that came into
+  /// force: the age of the data that it replaced.
+  void ObserveConfigurationDelay(Duration age);
   /// Sets the age of the last answer of the store or of a mirror, the
   /// configuration version in force, and the store revision up to which changes
   /// have been applied.
@@ -39,6 +43,7 @@
   MetricCounter& hedges_denied;
   LatencyHistogram& fan_out_latency;
   LatencyHistogram& single_latency;
+  LatencyHistogram& configuration_delay;
   MetricGauge& store_data_age;
   MetricGauge& version;
   MetricGauge& revision;
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -73,23 +73,22 @@
       random(kRandomSeed),
       outcome_lines(kOutcomeLinesPerSecond) {}
 
-void RelayService::SetRoutes(std::shared_ptr<const RouteTable> newer) {
+bool RelayService::SetRoutes(std::shared_ptr<const RouteTable> newer) {
   if (this->table != nullptr && newer->version() <= this->table->version()) {
     if (newer->version() < this->table->version()) {
       LogEvent(spdlog::level::warn, "configuration_older",
                {{"version", newer->version()},
                 {"in_force", this->table->version()}});
     }
-    return;
+    return false;
   }
-  LogEvent(spdlog::level::info, "configuration_in_force",
-           {{"version", newer->version()}});
   this->table = std::move(newer);
   this->targets.SetRoutes(this->table);
   if (!this->held.empty()) {
     // The targets of the same read are applied first.
     boost::asio::post(this->context.io, [this] { this->ReleaseHeld(); });
   }
+  return true;
 }
 
 void RelayService::SetBudgetLimits(RepeatBudgetLimits limits) {
@@ -403,6 +402,7 @@
              {{"request", request.request_id},
               {"kind", kind},
               {"status", status},
+              {"version", this->table == nullptr ? 0 : this->table->version()},
               {"omitted", omitted}});
   }
   const milliseconds retry_after =
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -35,8 +35,9 @@
                RelayMetrics& metrics,
                RepeatBudgetLimits budget_limits);
 
-  /// Puts a newer version in force; ignores an older one.
-  void SetRoutes(std::shared_ptr<const RouteTable> newer);
+  /// Puts a newer version in force; ignores an older one. Returns whether the
+  /// version was newer.
+  bool SetRoutes(std::shared_ptr<const RouteTable> newer);
   const std::shared_ptr<const RouteTable>& routes() const {
     return this->table;
   }
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -61,7 +61,7 @@
 StoreWatch::Hooks StoreFollower::WatchHooks() {
   StoreWatch::Hooks hooks;
   hooks.on_snapshot = [this](const StorePage& page) {
-    this->OnSnapshot(page);
+    this->OnSnapshot(page, this->OriginFrom("read"));
     this->ChooseSource();
     this->UpdateMirrorServer();
     return this->hosts.HostsInDomain(this->identity.failure_domain).empty();
@@ -71,17 +71,18 @@
     const std::string_view domain = this->identity.failure_domain;
     const std::size_t before = this->hosts.HostsInDomain(domain).size();
     for (const StoreItem& item : page.items) {
-      this->Apply(item);
+      this->Apply(item, this->OriginFrom("peek"));
     }
     this->ChooseSource();
     return !this->hosts.IsLargeDomain(domain) &&
            (before == 0 || this->hosts.HostsInDomain(domain).size() > before);
   };
   hooks.on_changes = [this](const StorePage& page) {
+    const PageOrigin origin = this->OriginFrom("watch");
     if (!page.more) {
       this->SetUpToDateAt(this->clock.Now());
     }
-    this->OnChanges(page);
+    this->OnChanges(page, origin);
     this->ChooseSource();
   };
   hooks.on_lost = [this] {
@@ -93,8 +94,8 @@
     this->targets.DeferRemovals();
     this->UpdateMirrorServer();
   };
-  hooks.on_call = [this](std::string_view kind, bool success) {
-    this->metrics.CountStoreCall(kind, success);
+  hooks.on_call = [this](std::string_view kind, StoreCallOutcome outcome) {
+    this->metrics.CountStoreCall(kind, outcome);
   };
   return hooks;
 }
@@ -113,8 +114,8 @@
       this->ChooseSource();
     }
   };
-  hooks.on_call = [this](std::string_view kind, bool success) {
-    this->metrics.CountStoreCall(kind, success);
+  hooks.on_call = [this](std::string_view kind, StoreCallOutcome outcome) {
+    this->metrics.CountStoreCall(kind, outcome);
   };
   return hooks;
 }
@@ -246,6 +247,7 @@
     return;
   }
   const TimePoint now = this->clock.Now();
+  const PageOrigin origin = this->OriginFrom("mirror");
   this->SetUpToDateAt(now - page.age);
   if (page.followers > 0) {
     this->followed_domain_size = page.followers + 1;
@@ -261,9 +263,9 @@
               {"direct", page.direct}});
   }
   if (is_snapshot) {
-    this->OnSnapshot(page);
+    this->OnSnapshot(page, origin);
   } else {
-    this->OnChanges(page);
+    this->OnChanges(page, origin);
   }
   this->watch->Advance(page.revision);
   this->LeaveOutdatedMirror();
@@ -305,10 +307,36 @@
   }
 }
 
-bool StoreFollower::Apply(const StoreItem& item) {
+StoreFollower::PageOrigin StoreFollower::OriginFrom(
+    std::string_view source) const {
+  PageOrigin origin{.source = source};
+  if (this->up_to_date_at != TimePoint()) {
+    origin.age = this->age();
+  }
+  return origin;
+}
+
+void StoreFollower::PutInForce(const RoutesChanged& routes,
+                               const StoreItem& item,
+                               const PageOrigin& origin) {
+  if (!this->service.SetRoutes(routes.table)) {
+    return;
+  }
+  if (origin.age) {
+    this->metrics.ObserveConfigurationDelay(*origin.age);
+  }
+  LogEvent(
+      spdlog::level::info, "configuration_in_force",
+      {{"version", routes.table->version()},
+       {"revision", item.revision},
+       {"source", origin.source},
+       {"replaced_age_ms", origin.age ? ToMilliseconds(*origin.age) : -1.0}});
+}
+
+bool StoreFollower::Apply(const StoreItem& item, const PageOrigin& origin) {
   const StoreChange change = this->Decode(item);
   if (const auto* routes = std::get_if<RoutesChanged>(&change)) {
-    this->service.SetRoutes(routes->table);
+    this->PutInForce(*routes, item, origin);
   } else if (const auto* domain = std::get_if<DomainEvacuation>(&change)) {
     this->targets.SetEvacuated(domain->domain, domain->evacuated);
   } else if (const auto* added = std::get_if<TargetRegistered>(&change)) {
@@ -323,10 +351,10 @@
   return true;
 }
 
-void StoreFollower::OnChanges(const StorePage& page) {
+void StoreFollower::OnChanges(const StorePage& page, const PageOrigin& origin) {
   const std::uint64_t before = this->mirror.significant_revision();
   for (const StoreItem& item : page.items) {
-    this->mirror.Put(item, this->Apply(item));
+    this->mirror.Put(item, this->Apply(item, origin));
   }
   this->mirror.Advance(page.revision);
   if (this->mirror.significant_revision() > before) {
@@ -334,7 +362,8 @@
   }
 }
 
-void StoreFollower::OnSnapshot(const StorePage& page) {
+void StoreFollower::OnSnapshot(const StorePage& page,
+                               const PageOrigin& origin) {
   this->mirror.Reset(page.items, page.revision);
   std::set<std::string, std::less<>> evacuated;
   std::vector<TargetEntry> registered_targets;
@@ -342,7 +371,7 @@
   for (const StoreItem& item : page.items) {
     const StoreChange change = this->Decode(item);
     if (const auto* routes = std::get_if<RoutesChanged>(&change)) {
-      this->service.SetRoutes(routes->table);
+      this->PutInForce(*routes, item, origin);
     } else if (const auto* domain = std::get_if<DomainEvacuation>(&change)) {
       evacuated.insert(domain->domain);
     } else if (const auto* target = std::get_if<TargetRegistered>(&change)) {
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -2,6 +2,7 @@
 #define AUBURNYARD_SRC_RELAY_STORE_FOLLOWER_H_
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -69,8 +70,15 @@
   bool outdated() const;
 
  private:
-  void OnSnapshot(const StorePage& page);
-  void OnChanges(const StorePage& page);
+  /// Where a page comes from, for logs and metrics.
+  struct PageOrigin {
+    std::string_view source;
+    /// Age of this host's data before the page; none if it was not confirmed.
+    std::optional<Duration> age;
+  };
+  PageOrigin OriginFrom(std::string_view source) const;
+  void OnSnapshot(const StorePage& page, const PageOrigin& origin);
+  void OnChanges(const StorePage& page, const PageOrigin& origin);
   void OnMirrorPage(const StorePage& page, bool is_snapshot);
   std::string NextMirror();
   void ChooseSource();
@@ -80,7 +88,10 @@
   StoreWatch::Hooks WatchHooks();
   MirrorReader::Hooks ReaderHooks();
   /// Returns whether hosts that follow this one must be notified.
-  bool Apply(const StoreItem& item);
+  bool Apply(const StoreItem& item, const PageOrigin& origin);
+  void PutInForce(const RoutesChanged& routes,
+                  const StoreItem& item,
+                  const PageOrigin& origin);
   /// Time within which other hosts must receive a change; the rest of the limit
   /// is a reserve for slow hosts.
   Duration PropagationLimit() const;
--- a/src/relay/store_registration.cc
+++ b/src/relay/store_registration.cc
@@ -49,7 +49,7 @@
        next = std::move(next)](const ExchangeResult& result) {
         const bool success =
             result.error.empty() && result.response.status == kStatusOk;
-        self->hooks.on_call(kind, success);
+        self->hooks.on_call(kind, OutcomeOf(result));
         if (!result.error.empty()) {
           self->connection = nullptr;
         }
--- a/src/relay/store_registration.h
+++ b/src/relay/store_registration.h
@@ -9,6 +9,7 @@
 #include "auburnyard/backoff.h"
 #include "src/net/http_client.h"
 #include "src/relay/relay_context.h"
+#include "src/relay/store_call_outcome.h"
 #include "src/relay/store_codec.h"
 
 namespace auburnyard {
@@ -18,7 +19,8 @@
     : public std::enable_shared_from_this<StoreRegistration> {
  public:
   struct Hooks {
-    std::function<void(std::string_view kind, bool success)> on_call;
+    std::function<void(std::string_view kind, StoreCallOutcome outcome)>
+        on_call;
   };
 
   StoreRegistration(const RelayContext& context,
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -124,6 +124,7 @@
         this->context.io, this->store.host, this->store.port);
     this->connection->EnableProbes(kProbeInterval);
   }
+  this->called_at = this->context.clock.Now();
   this->connection->Exchange(
       call, timeout,
       [self = this->shared_from_this(), next, kind,
@@ -131,8 +132,7 @@
         if (self->stopped || self->generation != sent_generation) {
           return;
         }
-        self->hooks.on_call(
-            kind, result.error.empty() && result.response.status == kStatusOk);
+        self->hooks.on_call(kind, OutcomeOf(result));
         if (!result.error.empty()) {
           // A connection on which an answer was lost cannot be reused.
           self->connection = nullptr;
@@ -155,17 +155,29 @@
 void StoreWatch::OnAnswer() {
   this->backoff.Reset();
   if (std::exchange(this->lost, false)) {
-    LogEvent(spdlog::level::info, "store_regained", {{"prefix", this->prefix}});
+    LogEvent(spdlog::level::info, "store_regained",
+             {{"prefix", this->prefix},
+              {"outage_ms",
+               ToMilliseconds(this->context.clock.Now() - this->lost_at)}});
     this->hooks.on_regained();
   }
 }
 
-void StoreWatch::RetryLater(std::string_view what, const std::string& error) {
+void StoreWatch::RetryLater(std::string_view what,
+                            const ExchangeResult& result) {
+  this->RetryLater(what, result.error.empty()
+                             ? std::to_string(result.response.status)
+                             : result.error);
+}
+
+void StoreWatch::RetryLater(std::string_view what, std::string_view error) {
   if (!std::exchange(this->lost, true)) {
+    this->lost_at = this->context.clock.Now();
     LogEvent(spdlog::level::warn, "store_lost",
              {{"prefix", this->prefix},
               {"call", what},
               {"error", error},
+              {"waited_ms", ToMilliseconds(this->lost_at - this->called_at)},
               {"revision", this->revision}});
     this->hooks.on_lost();
   }
@@ -185,9 +197,7 @@
 void StoreWatch::OnPage(const ExchangeResult& result) {
   if (!result.error.empty() || result.response.status != kStatusOk) {
     ++this->failed_reads;
-    this->RetryLater("range", result.error.empty()
-                                  ? std::to_string(result.response.status)
-                                  : result.error);
+    this->RetryLater("range", result);
     return;
   }
   StorePage page;
@@ -211,6 +221,7 @@
     return;
   }
   this->failed_reads = 0;
+  this->read_at = this->context.clock.Now();
   this->has_snapshot = true;
   this->watch_answered = false;
   this->allow_stale = true;
@@ -290,9 +301,7 @@
     return;
   }
   if (!result.error.empty() || result.response.status != kStatusOk) {
-    this->RetryLater("watch", result.error.empty()
-                                  ? std::to_string(result.response.status)
-                                  : result.error);
+    this->RetryLater("watch", result);
     return;
   }
   StorePage page;
@@ -303,7 +312,13 @@
     return;
   }
   this->OnAnswer();
-  this->watch_answered = true;
+  if (!std::exchange(this->watch_answered, true)) {
+    LogEvent(spdlog::level::info, "store_confirmed",
+             {{"prefix", this->prefix},
+              {"revision", page.revision},
+              {"since_read_ms",
+               ToMilliseconds(this->context.clock.Now() - this->read_at)}});
+  }
   this->pause = detail::PauseAfter(page, this->pause, this->max_pause);
   // Some of them may have been received from another host during the call.
   std::erase_if(page.items, [this](const StoreItem& item) {
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -12,6 +12,7 @@
 #include "auburnyard/backoff.h"
 #include "src/net/http_client.h"
 #include "src/relay/relay_context.h"
+#include "src/relay/store_call_outcome.h"
 #include "src/relay/store_codec.h"
 
 namespace auburnyard {
@@ -41,7 +42,8 @@
     /// The store answers again. Called before the first changes after the
     /// outage.
     std::function<void()> on_regained;
-    std::function<void(std::string_view kind, bool success)> on_call;
+    std::function<void(std::string_view kind, StoreCallOutcome outcome)>
+        on_call;
     /// Prefix of the keys that are peeked at by stale reads before the first
     /// watch, which costs ten times as much. Empty: no peeks.
     std::string peek_prefix;
@@ -85,7 +87,9 @@
             std::string_view kind,
             void (StoreWatch::*next)(const ExchangeResult&));
   void OnAnswer();
-  void RetryLater(std::string_view what, const std::string& error);
+  /// Reports a failed call as a lost store and schedules the next attempt.
+  void RetryLater(std::string_view what, const ExchangeResult& result);
+  void RetryLater(std::string_view what, std::string_view error);
   void Schedule(Duration delay, void (StoreWatch::*next)());
 
   const RelayContext& context;
@@ -107,6 +111,9 @@
   // False after lost history, which a stale read may predate.
   bool allow_stale = true;
   bool lost = false;
+  TimePoint lost_at{};    // start of the outage
+  TimePoint called_at{};  // of the last call
+  TimePoint read_at{};    // end of the last complete read
   bool stopped = false;
   std::size_t failed_reads = 0;  // since the last complete read
   std::size_t peeks = 0;         // since the last complete read
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -17,6 +17,9 @@
 constexpr std::string_view kRoutes =
     R"({"version":3,"routes":[],"services":[],"limits":{}})";
 
+constexpr std::string_view kNewerRoutes =
+    R"({"version":4,"routes":[],"services":[],"limits":{}})";
+
 class FollowerFixture {
  public:
   FollowerFixture() {
@@ -86,6 +89,28 @@
 
 BOOST_AUTO_TEST_SUITE(store_follower_test)
 
+// Guards against metrics that do not show how late a configuration came into
+// force, or that calls to the store are lost without an error.
+BOOST_AUTO_TEST_CASE(MetricsShowLateConfigurationsAndLostAnswers) {
+  FollowerFixture fixture;
+  BOOST_REQUIRE(fixture.Eventually([&fixture] {
+    return fixture.store.calls("/kv-watch") > 1 &&
+           fixture.store.pending_watches() == 1;
+  }));
+  fixture.clock.Advance(std::chrono::seconds(2));
+  fixture.store.Put("op/config", std::string(kNewerRoutes));
+  BOOST_REQUIRE(fixture.Eventually(
+      [&fixture] { return fixture.service.routes()->version() == 4; }));
+  const auto shows = [&fixture](std::string_view line) {
+    return fixture.metrics.Render().find(line) != std::string::npos;
+  };
+  BOOST_TEST(shows("configuration_delay_seconds_count 1"));
+  BOOST_TEST(shows("configuration_delay_seconds_sum 2"));
+  fixture.store.SetFault(util::StoreFault::kLostAnswers);
+  BOOST_TEST(fixture.Eventually(
+      [&shows] { return shows(R"(kind="watch",outcome="timed_out")"); }));
+}
+
 // Guards against a 404 for a route that was added while the host could not read
 // the store, and against a host that never answers 404 again.
 BOOST_AUTO_TEST_CASE(RoutesAreDeniedOnlyWithCurrentData) {
