Reproduce configurations that come into force too late

Callers get answers of an older version, or 404 for a route that was added, seconds after hosts count as in touch with the store again (rule CONFIG).

The soak checks the rule at real processes: versions are written every 0.3 to 3.7 s, each host is probed for moved, added and dropped routes on a connection that stays open, and answers of hosts in touch are compared with the versions that may be in force. Also checked: no host goes back, added routes are served, no request lasts past the time-out of its route. Faults come in series that overlap, with calm times between them in which hosts are judged; lost answers, a slow store and held replies are new.

--- a/test/relay_process_test.cc
+++ b/test/relay_process_test.cc
@@ -32,10 +32,12 @@
  public:
   explicit Fleet(std::uint16_t base_port,
                  std::size_t hosts_per_domain = 1,
-                 milliseconds route_timeout = milliseconds(2'000))
+                 milliseconds route_timeout = milliseconds(2'000),
+                 std::size_t extra_hosts = 0)
       : RelayFleet({.program_directory = TEST_BINARY_DIR,
                     .base_port = base_port,
                     .hosts_per_domain = hosts_per_domain,
+                    .extra_hosts = extra_hosts,
                     .route_timeout = route_timeout}) {
     for (std::size_t i = 0; i < this->hosts(); ++i) {
       this->StartHost(i);
@@ -158,6 +160,28 @@
   BOOST_TEST(Eventually([&fleet] { return fleet.InForce(0, 3); }));
 }
 
+// Guards against hosts that serve an older configuration after they count as in
+// touch again, because the answers that brought the newer one were lost.
+BOOST_AUTO_TEST_CASE(ConfigurationIsInForceAfterAnswersWereLost) {
+  constexpr milliseconds kContactTime{4'000};
+  Fleet fleet(25'900, /*hosts_per_domain=*/2, milliseconds(2'000),
+              /*extra_hosts=*/4);
+  // One host of the large domain watches the store for the others.
+  constexpr std::size_t kWatches = 1 + 2 * (Fleet::kDomains - 1);
+  for (int version = 2; version < 5; ++version) {
+    BOOST_REQUIRE(Eventually(
+        [&fleet] { return fleet.store().pending_watches() == kWatches; }));
+    fleet.store().SetFault(util::StoreFault::kLostAnswers);
+    fleet.PutRoutes(version);
+    std::this_thread::sleep_for(milliseconds(200));
+    fleet.store().SetFault(util::StoreFault::kNone);
+    std::this_thread::sleep_for(kContactTime);
+    for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+      BOOST_TEST(fleet.InForce(host, version));
+    }
+  }
+}
+
 // Guards against hosts that follow one which does not detect that the store no
 // longer answers.
 BOOST_AUTO_TEST_CASE(DomainWithAnUnreachableStoreFollowsOtherHosts) {
--- a/test/store_watch_test.cc
+++ b/test/store_watch_test.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::chrono::seconds kTestTimeout{20};  // terminates a hanging test
+constexpr std::chrono::milliseconds kChangeLimit{3'000};  // by default
 
 class WatchFixture {
  public:
@@ -38,7 +39,7 @@
     };
     hooks.on_lost = [this] { ++this->losses; };
     hooks.on_regained = [this] { ++this->regained; };
-    hooks.on_call = [](std::string_view, bool) {};
+    hooks.on_call = [](std::string_view, StoreCallOutcome) {};
     this->watch = std::make_shared<StoreWatch>(
         this->context, this->store_codec, ParseHostPort(this->store.address()),
         "", 1, std::move(hooks));
@@ -50,6 +51,13 @@
     }
     this->io.run_for(std::chrono::milliseconds(1));
   }
+  /// Waits for a watch after the first one, which is answered at once.
+  bool WaitsForChanges() {
+    return this->Eventually([this] {
+      return this->store.calls("/kv-watch") > 1 &&
+             this->store.pending_watches() == 1;
+    });
+  }
   bool Eventually(const std::function<bool()>& condition) {
     const TimePoint limit = this->clock.Now() + kTestTimeout;
     while (!condition() && this->clock.Now() < limit) {
@@ -190,6 +198,46 @@
   BOOST_TEST(fixture.regained >= 1);
 }
 
+// Guards against a change that is not in force in time because the answer that
+// brought it was lost, while the connection stays open and later calls are
+// answered.
+BOOST_AUTO_TEST_CASE(LostAnswerIsRepeatedWithinTheChangeLimit) {
+  WatchFixture fixture;
+  fixture.Start();
+  BOOST_REQUIRE(fixture.WaitsForChanges());
+  fixture.store.SetFault(util::StoreFault::kLostAnswers);
+  fixture.store.Put("a", "1");
+  BOOST_REQUIRE(fixture.Eventually(
+      [&fixture] { return fixture.store.pending_watches() == 0; }));
+  fixture.store.SetFault(util::StoreFault::kNone);
+  const TimePoint ended = fixture.clock.Now();
+  BOOST_TEST(
+      fixture.Eventually([&fixture] { return fixture.known["a"] == "1"; }));
+  BOOST_TEST(ToMilliseconds(fixture.clock.Now() - ended) <
+             ToMilliseconds(kChangeLimit));
+}
+
+// Guards against a call that is sent during an outage and holds back the
+// recovery after it, because its answer was lost as well.
+BOOST_AUTO_TEST_CASE(CallsDuringAnOutageTimeOutSoon) {
+  WatchFixture fixture;
+  fixture.Start();
+  BOOST_REQUIRE(fixture.WaitsForChanges());
+  fixture.store.SetFault(util::StoreFault::kLostAnswers);
+  fixture.store.Put("a", "1");
+  BOOST_REQUIRE(fixture.Eventually([&fixture] { return fixture.losses == 1; }));
+  const std::uint64_t before = fixture.store.calls("/kv-watch");
+  BOOST_REQUIRE(fixture.Eventually([&fixture, before] {
+    return fixture.store.calls("/kv-watch") > before;
+  }));
+  fixture.store.SetFault(util::StoreFault::kNone);
+  const TimePoint ended = fixture.clock.Now();
+  BOOST_TEST(
+      fixture.Eventually([&fixture] { return fixture.known["a"] == "1"; }));
+  BOOST_TEST(ToMilliseconds(fixture.clock.Now() - ended) <
+             ToMilliseconds(kChangeLimit));
+}
+
 // Guards against changes received from another host being reverted or repeated
 // by an older answer of the store.
 BOOST_AUTO_TEST_CASE(ChangesFromOtherHostsAreNotRepeated) {
@@ -214,7 +262,7 @@
 BOOST_AUTO_TEST_CASE(RegistrationFollowsItsLease) {
   WatchFixture fixture;
   StoreRegistration::Hooks hooks;
-  hooks.on_call = [](std::string_view, bool) {};
+  hooks.on_call = [](std::string_view, StoreCallOutcome) {};
   StoreItem item;
   item.key = "hosts/a";
   item.value = "{}";
--- a/util/relay_soak/main.cc
+++ b/util/relay_soak/main.cc
@@ -9,11 +9,13 @@
 
 namespace {
 
-constexpr std::array<OptionSpec, 5> kOptions = {{
+constexpr std::array<OptionSpec, 7> kOptions = {{
     {"programs", "DIRECTORY", "directory of auburnyardd (default build)"},
     {"seed", "N", "seed of the faults and callers (default 1)"},
     {"seconds", "N", "duration of fault injection (default 20)"},
     {"hosts-per-domain", "N", "entry hosts in each of 3 domains (default 1)"},
+    {"extra-hosts", "N", "further hosts in the first domain (default 0)"},
+    {"logs", "DIRECTORY", "keeps the logs of the hosts there"},
     {"base-port", "N", "first port on loopback (default 26000)"},
 }};
 
@@ -24,6 +26,8 @@
   options.seed = line.Integer("seed", 1);
   options.duration = std::chrono::seconds(line.Integer("seconds", 20));
   options.hosts_per_domain = line.Integer("hosts-per-domain", 1);
+  options.extra_hosts = line.Integer("extra-hosts", 0);
+  options.log_directory = line.Get("logs", "");
   options.base_port =
       static_cast<std::uint16_t>(line.Integer("base-port", 26'000));
   Soak soak(options);
@@ -34,10 +38,12 @@
   for (const std::string& violation : violations) {
     std::printf("violation: %s\n", violation.c_str());
   }
-  std::printf("seed %llu: %llu requests, %zu violations\n",
-              static_cast<unsigned long long>(options.seed),
-              static_cast<unsigned long long>(soak.requests()),
-              violations.size());
+  std::printf(
+      "seed %llu: %llu requests, %llu judged by their configuration, "
+      "%zu violations\n",
+      static_cast<unsigned long long>(options.seed),
+      static_cast<unsigned long long>(soak.requests()),
+      static_cast<unsigned long long>(soak.judged()), violations.size());
   return violations.empty() ? 0 : 1;
 }
 
--- a/util/relay_soak/soak.cc
+++ b/util/relay_soak/soak.cc
@@ -25,6 +25,22 @@
 constexpr std::chrono::seconds kRecoveryTimeout{12};
 constexpr milliseconds kPollInterval{100};
 constexpr milliseconds kInjectedDelay{120};
+// A host is judged by its configuration this long after the last trouble of its
+// own, of its path to the store and of the store. The users' bound of the
+// deployments with the shortest limits.
+constexpr milliseconds kContactTime{4'000};
+constexpr milliseconds kChangeLimit{3'000};
+constexpr milliseconds kMinChangeInterval{300};
+constexpr int kMaxChangeJitterMs = 3'400;
+constexpr milliseconds kProbeInterval{20};
+constexpr std::size_t kMaxSeries = 8;
+// Time without faults in which the hosts that are in touch again are judged.
+constexpr int kMaxCalmMs = 5'000;
+// A short loss of answers, and the time until the next version after it.
+constexpr milliseconds kMinLoss{200};
+constexpr int kMaxLossJitterMs = 600;
+constexpr milliseconds kChangeAfterLoss{600};
+constexpr int kMaxStoreDelayMs = 400;
 // Registrations that another writer left and that cannot be decoded.
 constexpr std::size_t kOddEntries = 3;
 constexpr std::size_t kOddDepth = 100'000;
@@ -38,7 +54,11 @@
       random(this->options.seed),
       fleet({.program_directory = this->options.program_directory,
              .base_port = this->options.base_port,
-             .hosts_per_domain = this->options.hosts_per_domain}) {}
+             .hosts_per_domain = this->options.hosts_per_domain,
+             .extra_hosts = this->options.extra_hosts,
+             .change_limit = kChangeLimit,
+             .log_directory = this->options.log_directory}),
+      configuration(this->fleet, kChangeLimit, kContactTime) {}
 
 std::size_t Soak::Pick(std::size_t count) {
   return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->random);
@@ -51,26 +71,47 @@
 
 std::vector<std::string> Soak::Run() {
   for (std::size_t i = 0; i < this->fleet.hosts(); ++i) {
-    this->fleet.StartHost(i);
+    this->StartHost(i);
   }
   {
     std::vector<std::jthread> callers;
+    callers.emplace_back([this] { this->ChangeContinuously(); });
+    for (std::size_t i = 0; i < this->fleet.hosts(); ++i) {
+      callers.emplace_back([this, i] { this->ProbeHost(i); });
+    }
     for (std::size_t i = 0; i < kCallers; ++i) {
       callers.emplace_back([this, i] { this->Call(i); });
     }
     this->InjectFaults();
+    this->faults_ended = true;
     this->ClearFaults();
     this->CheckRecovery();
     this->CheckProcesses();
     this->stopping = true;
   }
   this->CheckExecutions();
+  for (std::string& text : this->configuration.Summarize()) {
+    this->AddViolation(std::move(text));
+  }
   return this->violations;
 }
 
 void Soak::InjectFaults() {
   const auto end = std::chrono::steady_clock::now() + this->options.duration;
   while (std::chrono::steady_clock::now() < end) {
+    this->InjectSeries();
+    // Otherwise the next series overlaps with what this one has left.
+    if (this->Pick(2) == 0) {
+      this->ClearFaults();
+      std::this_thread::sleep_for(kContactTime +
+                                  milliseconds(this->Pick(kMaxCalmMs)));
+    }
+  }
+}
+
+void Soak::InjectSeries() {
+  const std::size_t faults = 1 + this->Pick(kMaxSeries);
+  for (std::size_t i = 0; i < faults; ++i) {
     std::this_thread::sleep_for(kMinFaultInterval +
                                 milliseconds(this->Pick(kMaxFaultJitterMs)));
     this->InjectRandomFault();
@@ -78,6 +119,11 @@
   }
 }
 
+void Soak::StartHost(std::size_t host) {
+  this->fleet.StartHost(host);
+  this->configuration.OnHostStarted(host);
+}
+
 void Soak::InjectRandomFault() {
   switch (this->Pick(5)) {
     case 0:
@@ -105,16 +151,18 @@
   }
   if (!this->fleet.running(host)) {
     ++this->fault_counts["host started"];
-    this->fleet.StartHost(host);
+    this->StartHost(host);
     return;
   }
   switch (this->Pick(5)) {
     case 0:
       ++this->fault_counts["host killed"];
+      this->configuration.BeginTrouble(ConfigurationCheck::HostSubject(host));
       this->fleet.KillHost(host);
       break;
     case 1:
       ++this->fault_counts["host paused"];
+      this->configuration.BeginTrouble(ConfigurationCheck::HostSubject(host));
       this->fleet.SignalHost(host, SIGSTOP);
       this->paused_hosts.push_back(host);
       break;
@@ -122,6 +170,11 @@
       ++this->fault_counts["host resumed"];
       for (const std::size_t paused : this->paused_hosts) {
         this->fleet.SignalHost(paused, SIGCONT);
+        if (this->fleet.running(paused) &&
+            !this->stopping_hosts.contains(paused)) {
+          this->configuration.EndTrouble(
+              ConfigurationCheck::HostSubject(paused));
+        }
       }
       this->paused_hosts.clear();
       break;
@@ -138,6 +191,7 @@
 // follow in the meantime.
 void Soak::BeginStop(std::size_t host) {
   ++this->fault_counts["host terminated"];
+  this->configuration.BeginTrouble(ConfigurationCheck::HostSubject(host));
   this->fleet.SignalHost(host, SIGCONT);
   this->fleet.SignalHost(host, SIGTERM);
   this->stopping_hosts.insert(host);
@@ -186,34 +240,48 @@
 }
 
 void Soak::InjectStoreFault() {
-  constexpr std::array<std::pair<StoreFault, const char*>, 5> kFaults = {{
+  constexpr std::array<std::pair<StoreFault, const char*>, 8> kFaults = {{
       {StoreFault::kNone, "store recovered"},
       {StoreFault::kNone, "store recovered"},
       {StoreFault::kSilent, "store unresponsive"},
       {StoreFault::kBusy, "store busy"},
       {StoreFault::kLostReplies, "store replies lost"},
+      {StoreFault::kLostAnswers, "store answers lost"},
+      {StoreFault::kLostAnswers, "store answers lost"},
+      {StoreFault::kNone, "store recovered"},
   }};
-  constexpr std::array<std::pair<RouteState, const char*>, 3> kRoutes = {{
+  constexpr std::array<std::pair<RouteState, const char*>, 4> kRoutes = {{
       {RouteState::kPass, "route to the store restored"},
       {RouteState::kCut, "route to the store reset"},
       {RouteState::kDrop, "route to the store dropped"},
+      {RouteState::kDropReplies, "replies of the store dropped"},
   }};
-  switch (this->Pick(4)) {
+  switch (this->Pick(6)) {
     case 0: {
       const auto& [fault, name] = kFaults.at(this->Pick(kFaults.size()));
       ++this->fault_counts[name];
-      this->fleet.store().SetFault(fault);
+      this->SetStoreFault(fault);
       break;
     }
     case 1: {
       const auto& [state, name] = kRoutes.at(this->Pick(kRoutes.size()));
       ++this->fault_counts[name];
-      this->fleet.SetStoreRoute(this->Pick(RelayFleet::kDomains), state);
+      this->SetStoreRoute(this->Pick(RelayFleet::kDomains), state);
       break;
     }
     case 2:
       ++this->fault_counts["store history compacted"];
       this->fleet.store().CompactHistory();
+      this->configuration.Strike(ConfigurationCheck::kStore);
+      break;
+    case 3:
+      ++this->fault_counts["store slow"];
+      this->configuration.BeginTrouble(ConfigurationCheck::kStore);
+      this->fleet.store().SetDelay(milliseconds(this->Pick(kMaxStoreDelayMs)));
+      break;
+    case 4:
+      ++this->fault_counts["store answers lost for a moment"];
+      this->LoseAnswersBriefly();
       break;
     default:
       ++this->fault_counts["leases revoked"];
@@ -221,6 +289,36 @@
   }
 }
 
+// A host notices such a loss by its own time-outs only, because no connection
+// ends and all later calls are answered.
+void Soak::LoseAnswersBriefly() {
+  this->SetStoreFault(StoreFault::kLostAnswers);
+  this->configuration.Change();
+  std::this_thread::sleep_for(kMinLoss +
+                              milliseconds(this->Pick(kMaxLossJitterMs)));
+  this->SetStoreFault(StoreFault::kNone);
+  std::this_thread::sleep_for(kChangeAfterLoss);
+  this->configuration.Change();
+}
+
+void Soak::SetStoreFault(StoreFault fault) {
+  if (fault != StoreFault::kNone) {
+    this->configuration.BeginTrouble(ConfigurationCheck::kStore);
+  }
+  this->fleet.store().SetFault(fault);
+}
+
+void Soak::SetStoreRoute(std::size_t domain, RouteState state) {
+  const std::string subject = ConfigurationCheck::DomainSubject(domain);
+  if (state != RouteState::kPass) {
+    this->configuration.BeginTrouble(subject);
+  }
+  this->fleet.SetStoreRoute(domain, state);
+  if (state == RouteState::kPass) {
+    this->configuration.EndTrouble(subject);
+  }
+}
+
 void Soak::InjectTargetFault() {
   const std::size_t index = this->Pick(this->fleet.target_count());
   RelayTarget& target = this->fleet.target(index);
@@ -257,15 +355,27 @@
 
 void Soak::ChangeConfiguration() {
   ++this->fault_counts["configuration changed"];
-  this->fleet.PutRoutes(++this->version);
+  this->configuration.Change();
+}
+
+void Soak::ChangeContinuously() {
+  std::mt19937_64 choices(this->options.seed);
+  std::uniform_int_distribution<int> jitter(0, kMaxChangeJitterMs);
+  while (!this->faults_ended) {
+    this->configuration.Change();
+    std::this_thread::sleep_for(kMinChangeInterval +
+                                milliseconds(jitter(choices)));
+  }
 }
 
 void Soak::ClearFaults() {
   this->FinishStops();
   this->EndEvacuations();
-  this->fleet.store().SetFault(StoreFault::kNone);
+  this->fleet.store().SetDelay(milliseconds(0));
+  this->SetStoreFault(StoreFault::kNone);
+  this->configuration.EndTrouble(ConfigurationCheck::kStore);
   for (std::size_t i = 0; i < RelayFleet::kDomains; ++i) {
-    this->fleet.SetStoreRoute(i, RouteState::kPass);
+    this->SetStoreRoute(i, RouteState::kPass);
   }
   for (std::size_t i = 0; i < this->fleet.target_count(); ++i) {
     RelayTarget& target = this->fleet.target(i);
@@ -281,11 +391,12 @@
   for (std::size_t i = 0; i < this->fleet.hosts(); ++i) {
     if (this->fleet.running(i)) {
       this->fleet.SignalHost(i, SIGCONT);
+      this->configuration.EndTrouble(ConfigurationCheck::HostSubject(i));
     } else {
-      this->fleet.StartHost(i);
+      this->StartHost(i);
     }
   }
-  this->fleet.PutRoutes(++this->version);
+  this->configuration.Change();
 }
 
 void Soak::CheckRecovery() {
@@ -297,9 +408,10 @@
     while (!recovered && std::chrono::steady_clock::now() < end) {
       const std::string suffix =
           std::to_string(host) + "-" + std::to_string(++number);
-      const auto mark = caller.Get(this->fleet.Address(host),
-                                   "/v" + std::to_string(this->version) + "/x",
-                                   "mark-" + suffix);
+      const auto mark = caller.Get(
+          this->fleet.Address(host),
+          "/v" + std::to_string(this->configuration.version()) + "/x",
+          "mark-" + suffix);
       const auto all = caller.Get(this->fleet.Address(host), "/all/x",
                                   "recovered-" + suffix);
       recovered = mark && mark->result_int() == kStatusOk && all &&
@@ -347,6 +459,19 @@
   }
 }
 
+void Soak::ProbeHost(std::size_t host) {
+  std::mt19937_64 choices(this->options.seed + host);
+  SoakCaller caller;
+  while (!this->stopping) {
+    const std::string violation =
+        this->configuration.Probe(caller, host, choices);
+    if (!violation.empty()) {
+      this->AddViolation(violation);
+    }
+    std::this_thread::sleep_for(kProbeInterval);
+  }
+}
+
 void Soak::CheckExecutions() {
   std::map<std::string, int> runs;
   for (std::size_t i = 0; i < 2; ++i) {
--- a/util/relay_soak/soak.h
+++ b/util/relay_soak/soak.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "util/relay_soak/configuration_check.h"
 #include "util/relay_soak/soak_caller.h"
 #include "util/relay_standin/relay_fleet.h"
 
@@ -21,7 +22,9 @@
   std::uint64_t seed = 1;
   std::chrono::seconds duration{20};
   std::size_t hosts_per_domain = 1;
+  std::size_t extra_hosts = 0;  ///< in the first domain
   std::uint16_t base_port = 26'000;
+  std::string log_directory;  ///< of the hosts; empty: logs are not kept
 };
 
 /// Runs entry hosts under random faults and checks their guarantees from the
@@ -33,19 +36,29 @@
   /// Violations found, empty if none.
   std::vector<std::string> Run();
   std::uint64_t requests() const { return this->request_count; }
+  /// Requests that showed the configuration in force at a host in touch.
+  std::uint64_t judged() const { return this->configuration.judged(); }
   const std::map<std::string, int>& faults() const {
     return this->fault_counts;
   }
 
  private:
   void InjectFaults();
+  /// Injects faults that follow each other closely.
+  void InjectSeries();
   void InjectRandomFault();
   void InjectHostFault();
   void InjectStoreFault();
+  void LoseAnswersBriefly();
+  void SetStoreFault(StoreFault fault);
+  void SetStoreRoute(std::size_t domain, RouteState state);
   void InjectTargetFault();
   void InjectStoreEntry();
   void EndEvacuations();
   void ChangeConfiguration();
+  /// Writes versions at random intervals until the faults have ended.
+  void ChangeContinuously();
+  void StartHost(std::size_t host);
   /// Asks a host to stop and goes on.
   void BeginStop(std::size_t host);
   /// Waits until the hosts that were asked to stop have ended.
@@ -54,6 +67,8 @@
   void CheckProcesses();
   void ClearFaults();
   void Call(std::size_t caller);
+  /// Checks the configuration that a host has in force.
+  void ProbeHost(std::size_t host);
   void CheckRecovery();
   void CheckExecutions();
   void AddViolation(std::string text);
@@ -62,10 +77,11 @@
   SoakOptions options;
   std::mt19937_64 random;
   RelayFleet fleet;
+  ConfigurationCheck configuration;
+  std::atomic<bool> faults_ended{false};
   std::atomic<bool> stopping{false};
   std::atomic<std::uint64_t> request_count{0};
   std::map<std::string, int> fault_counts;
-  std::uint64_t version = 1;
   std::vector<std::size_t> paused_hosts;  // hosts under SIGSTOP
   std::set<std::size_t> stopping_hosts;   // after SIGTERM
   std::mutex mutex;
