Derive the waits for the store from the time a change may take

Cause: a host without followers waited 5 s for a change and 1 s more for the answer, whatever the limit for changes is (3 s there). When the answer that brings a change is lost and the connection stays open, nothing but this time-out shows it. The calls sent during the outage waited as long, so that one of them could put off the recovery by 6 s again; the pace that is set for followers was off whenever no request of theirs was pending, which is always so during an outage.

A watch waits for changes only on data that was confirmed since the last read, pause or outage; any other call is due at once. The first call that times out is repeated without delay. Why it works: a lost answer is asked for again within 0.8 of the limit, and a call during an outage ends within a grace and a retry.

--- /dev/null
+++ b/src/core/store_timing.cc
@@ -0,0 +1,92 @@
+#include "auburnyard/store_timing.h"
+
+#include <algorithm>
+
+namespace auburnyard {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Share of the change limit within which a change must reach the hosts.
+constexpr double kPropagationShare = 0.8;
+// A store that is 60 times slower than usual answers in about 250 ms, and a
+// busy host handles the answer late.
+constexpr milliseconds kMaxGrace{1'000};
+constexpr double kGraceShare = 0.4;
+// Time to repeat a call and to pass its answer on to followers.
+constexpr milliseconds kMaxRepeatTime{300};
+constexpr double kRepeatShare = 0.2;
+// The pause between watches lets one call fetch several changes.
+constexpr milliseconds kMaxPause{1'000};
+constexpr double kPauseShare = 0.5;
+// Followers add a hop, and wait for the pause as well as for the repetition.
+constexpr double kFollowedPauseShare = 0.25;
+// A watch without changes costs a call; longer waits save little.
+constexpr milliseconds kMaxWatchWait{5'000};
+constexpr milliseconds kMinWatchWait{100};
+constexpr milliseconds kMaxRetryDelay{800};
+constexpr double kRetryShare = 1.0 / 3;
+// A host without a configuration refuses all callers, so the first read is
+// repeated early.
+constexpr milliseconds kMaxFirstReadTimeout{600};
+constexpr double kFirstReadShare = 0.4;
+constexpr milliseconds kMaxReadTimeout{2'000};
+constexpr milliseconds kMaxMirrorWait{1'500};
+// Covers a round trip between regions and a slow host.
+constexpr milliseconds kMaxMirrorGrace{500};
+constexpr milliseconds kMaxMirrorInterval{400};
+constexpr double kMirrorShare = 0.25;
+
+Duration Share(Duration time, double share) {
+  return std::chrono::duration_cast<Duration>(time * share);
+}
+
+milliseconds WholeMilliseconds(Duration time) {
+  return std::chrono::duration_cast<milliseconds>(time);
+}
+
+}  // namespace
+
+StoreTiming::StoreTiming(milliseconds change_limit, bool has_followers)
+    : time_budget(Share(change_limit, kPropagationShare)),
+      grace(
+          std::min<Duration>(kMaxGrace, Share(this->time_budget, kGraceShare))),
+      pause(
+          std::min<Duration>(kMaxPause, Share(this->time_budget, kPauseShare))),
+      first_read(std::min<Duration>(kMaxFirstReadTimeout,
+                                    Share(this->time_budget, kFirstReadShare))),
+      retry(std::min<Duration>(kMaxRetryDelay,
+                               Share(this->time_budget, kRetryShare))),
+      mirror_answer(std::min<Duration>(kMaxMirrorGrace,
+                                       Share(this->time_budget, kMirrorShare))),
+      mirror_delay(std::min<Duration>(kMaxMirrorInterval,
+                                      Share(this->time_budget, kMirrorShare))) {
+  const Duration repeat = std::min<Duration>(
+      kMaxRepeatTime, Share(this->time_budget, kRepeatShare));
+  this->confirm = this->time_budget - this->grace - repeat;
+  Duration longest_wait = this->confirm;
+  if (has_followers) {
+    this->pause = Share(this->time_budget, kFollowedPauseShare);
+    longest_wait -= this->pause;
+  }
+  this->wait =
+      std::clamp(WholeMilliseconds(longest_wait), kMinWatchWait, kMaxWatchWait);
+  this->max_read =
+      std::clamp<Duration>(this->time_budget - this->retry - repeat,
+                           this->first_read, kMaxReadTimeout);
+  this->held =
+      std::clamp(WholeMilliseconds(this->time_budget - this->mirror_answer -
+                                   this->mirror_delay - repeat),
+                 kMinWatchWait, kMaxMirrorWait);
+}
+
+Duration StoreTiming::ReadTimeout(std::size_t failures) const {
+  Duration timeout = this->first_read;
+  for (std::size_t i = 0; i < failures && timeout < this->max_read; ++i) {
+    timeout *= 2;
+  }
+  return std::min(timeout, this->max_read);
+}
+
+}  // namespace auburnyard
--- a/src/relay/mirror_reader.cc
+++ b/src/relay/mirror_reader.cc
@@ -10,30 +10,23 @@
 
 using std::chrono::milliseconds;
 
-// Delay after an answer of a host that does not watch the store itself, and
-// after a failure. A change reaches a host without access to the store within a
-// few of these intervals, well below the time within which a configuration must
-// be in force.
-constexpr milliseconds kRequestInterval{400};
-// Long-poll time of a request for changes. Bounds the time until an
-// unresponsive mirror is detected.
-constexpr milliseconds kChangeTimeout{1'500};
-// Covers a round trip between regions and a slow host.
-constexpr milliseconds kAnswerGrace{500};
 constexpr int kStatusOk = 200;
 
 }  // namespace
 
 MirrorReader::MirrorReader(const RelayContext& relay_context,
                            const StoreCodec& store_codec,
+                           StoreTiming store_timing,
                            Hooks reader_hooks)
     : context(relay_context),
       codec(store_codec),
+      timing(store_timing),
       hooks(std::move(reader_hooks)),
       timer(relay_context.io) {}
 
 void MirrorReader::Start() {
   if (!std::exchange(this->running, true)) {
+    this->answered = false;
     this->SendRequest();
   }
 }
@@ -61,6 +54,8 @@
   }
 }
 
+// A request after a failure does not wait for changes: its mirror may not
+// answer either, which shows sooner then.
 void MirrorReader::SendRequest() {
   this->Connect(this->hooks.choose_mirror());
   if (this->connection == nullptr) {
@@ -69,11 +64,12 @@
   }
   const auto known = this->hooks.known_revision();
   this->read_all = this->read_all || !known;
+  const milliseconds wait = this->timing.mirror_wait();
   const HttpCall call =
       this->read_all ? this->codec.encode_range("", "", /*allow_stale=*/false)
-                     : this->codec.encode_watch("", *known, kChangeTimeout);
+                     : this->codec.encode_watch("", *known, wait);
   this->connection->Exchange(
-      call, kChangeTimeout + kAnswerGrace,
+      call, this->TimeoutOf(wait),
       [self = this->shared_from_this(),
        sent_generation = this->generation](const ExchangeResult& result) {
         if (self->running && self->generation == sent_generation) {
@@ -82,6 +78,12 @@
       });
 }
 
+// All keys of a large configuration take longer than a few changes.
+Duration MirrorReader::TimeoutOf(milliseconds wait) const {
+  return (this->read_all ? this->timing.mirror_wait() : wait) +
+         this->timing.mirror_grace();
+}
+
 // Only a host that watches the store itself holds requests until a change; the
 // next request to any other host is delayed.
 bool MirrorReader::ApplyPage(const HttpResponse& response) {
@@ -109,14 +111,15 @@
 }
 
 void MirrorReader::OnAnswer(const ExchangeResult& result) {
-  const bool answered = result.error.empty();
-  const bool success = answered && result.response.status == kStatusOk;
+  const bool received = result.error.empty();
+  const bool success = received && result.response.status == kStatusOk;
   const std::uint64_t sent_generation = this->generation;
   this->hooks.on_call("mirror", OutcomeOf(result));
+  this->answered = success;
   if (success && this->ApplyPage(result.response)) {
     return;
   }
-  if (answered && !success && this->codec.history_lost(result.response)) {
+  if (received && !success && this->codec.history_lost(result.response)) {
     this->read_all = true;
     this->SendRequest();
     return;
@@ -135,7 +138,7 @@
 }
 
 void MirrorReader::ScheduleRequest() {
-  this->timer.expires_after(kRequestInterval);
+  this->timer.expires_after(this->timing.mirror_interval());
   this->timer.async_wait(
       [self = this->shared_from_this(),
        sent_generation = this->generation](boost::system::error_code error) {
--- a/src/relay/mirror_reader.h
+++ b/src/relay/mirror_reader.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "auburnyard/store_timing.h"
 #include "src/net/http_client.h"
 #include "src/relay/relay_context.h"
 #include "src/relay/store_call_outcome.h"
@@ -35,14 +36,18 @@
 
   MirrorReader(const RelayContext& context,
                const StoreCodec& codec,
+               StoreTiming timing,
                Hooks hooks);
 
   /// Reads until Stop is called. No effect if already running.
   void Start();
   void Stop();
+  /// Applies to later requests.
+  void SetTiming(StoreTiming changed) { this->timing = changed; }
 
  private:
   void SendRequest();
+  Duration TimeoutOf(std::chrono::milliseconds wait) const;
   void Connect(const std::string& mirror);
   void OnAnswer(const ExchangeResult& result);
   /// Applies an answer and sends or schedules the next request. Returns false
@@ -52,6 +57,7 @@
 
   const RelayContext& context;
   const StoreCodec& codec;
+  StoreTiming timing;
   Hooks hooks;
   std::shared_ptr<HttpConnection> connection;
   std::string connected_to;
@@ -59,6 +65,7 @@
   // Answers to requests of earlier generations are ignored.
   std::uint64_t generation = 0;
   bool running = false;
+  bool answered = false;  // the last request, since the start
   bool read_all =
       false;  // the mirror no longer has the history that was requested
 };
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -15,21 +15,6 @@
 
 // Interval of the choice between the store and a mirror.
 constexpr std::chrono::seconds kChoiceInterval{1};
-// Timing of a host without followers. It can detect the loss of the store late,
-// because mirrors of other hosts supply the changes once it does.
-constexpr milliseconds kMaxWatchWait{5'000};
-constexpr milliseconds kMaxWatchPause{1'000};
-constexpr milliseconds kMinWatchWait{500};
-// Share of the change limit within which other hosts must receive a change; the
-// rest is a reserve for slow hosts.
-constexpr double kPropagationShare = 0.8;
-// Share of that time for the pause between watches, during which changes
-// accumulate.
-constexpr double kPauseShare = 0.25;
-// Added to the pause and the wait: the grace time of a watch and the
-// propagation of the change.
-constexpr milliseconds kDetectionMargin{1'300};
-
 }  // namespace
 
 StoreFollower::StoreFollower(const RelayContext& context,
@@ -50,12 +35,13 @@
       metrics(relay_metrics),
       mirror_server(context, codec, this->mirror),
       choice(this->identity.host_name),
-      random(HashText(this->identity.host_name)) {
+      random(HashText(this->identity.host_name)),
+      timing(this->identity.change_limit) {
   this->watch = std::make_shared<StoreWatch>(
       context, codec, store, /*key_prefix=*/"",
-      HashText(this->identity.host_name), this->WatchHooks());
-  this->reader =
-      std::make_shared<MirrorReader>(context, codec, this->ReaderHooks());
+      HashText(this->identity.host_name), this->timing, this->WatchHooks());
+  this->reader = std::make_shared<MirrorReader>(context, codec, this->timing,
+                                                this->ReaderHooks());
 }
 
 StoreWatch::Hooks StoreFollower::WatchHooks() {
@@ -146,7 +132,7 @@
 
 void StoreFollower::Sweep() {
   this->mirror_server.Sweep();
-  this->UpdateWatchTiming();
+  this->UpdateTiming();
   const TimePoint now = this->clock.Now();
   if (now >= this->next_choice) {
     this->next_choice = now + kChoiceInterval;
@@ -156,22 +142,11 @@
 
 // Hosts that follow this one detect a loss of the store as late as this one
 // does, and must still receive changes in time.
-void StoreFollower::UpdateWatchTiming() {
-  if (this->mirror_server.pending_requests() == 0) {
-    this->watch->SetTiming(kMaxWatchWait, kMaxWatchPause);
-    return;
-  }
-  const Duration propagation_limit = this->PropagationLimit();
-  const auto pause =
-      std::chrono::duration_cast<milliseconds>(propagation_limit * kPauseShare);
-  const auto wait = std::chrono::duration_cast<milliseconds>(
-      propagation_limit - pause - kDetectionMargin);
-  this->watch->SetTiming(std::clamp(wait, kMinWatchWait, kMaxWatchWait), pause);
-}
-
-Duration StoreFollower::PropagationLimit() const {
-  return std::chrono::duration_cast<Duration>(this->identity.change_limit *
-                                              kPropagationShare);
+void StoreFollower::UpdateTiming() {
+  const bool has_followers = this->mirror_server.followers() > 0;
+  this->timing = StoreTiming(this->identity.change_limit, has_followers);
+  this->watch->SetTiming(this->timing);
+  this->reader->SetTiming(this->timing);
 }
 
 void StoreFollower::SetUpToDateAt(TimePoint time) {
@@ -183,12 +158,9 @@
   return this->clock.Now() - this->up_to_date_at;
 }
 
-// A host without followers may wait longer for an answer of the store than the
-// configured change limit.
 bool StoreFollower::outdated() const {
   return this->age() >
-         std::max<Duration>(this->identity.change_limit,
-                            kMaxWatchWait + kMaxWatchPause + kDetectionMargin);
+         std::max<Duration>(this->identity.change_limit, milliseconds(7'300));
 }
 
 void StoreFollower::ChooseSource() {
@@ -276,7 +248,7 @@
 // would receive calls from all hosts at once.
 void StoreFollower::LeaveOutdatedMirror() {
   if (this->followed_mirror.empty() ||
-      this->age() <= this->PropagationLimit() - kDetectionMargin) {
+      this->age() <= this->timing.mirror_age()) {
     return;
   }
   LogEvent(spdlog::level::warn, "mirror_outdated",
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -9,6 +9,7 @@
 
 #include "auburnyard/host_table.h"
 #include "auburnyard/mirror_choice.h"
+#include "auburnyard/store_timing.h"
 #include "src/relay/mirror_reader.h"
 #include "src/relay/mirror_server.h"
 #include "src/relay/relay_service.h"
@@ -84,7 +85,7 @@
   void ChooseSource();
   void LeaveOutdatedMirror();
   void UpdateMirrorServer();
-  void UpdateWatchTiming();
+  void UpdateTiming();
   StoreWatch::Hooks WatchHooks();
   MirrorReader::Hooks ReaderHooks();
   /// Returns whether hosts that follow this one must be notified.
@@ -92,9 +93,6 @@
   void PutInForce(const RoutesChanged& routes,
                   const StoreItem& item,
                   const PageOrigin& origin);
-  /// Time within which other hosts must receive a change; the rest of the limit
-  /// is a reserve for slow hosts.
-  Duration PropagationLimit() const;
   void SetUpToDateAt(TimePoint time);
   StoreChange Decode(const StoreItem& item);
 
@@ -109,6 +107,7 @@
   MirrorServer mirror_server;
   MirrorChoice choice;
   std::mt19937_64 random;
+  StoreTiming timing;
   // Mirror read instead of the store; may be empty.
   std::string followed_mirror;
   TimePoint next_choice{};
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -11,24 +11,10 @@
 
 using std::chrono::milliseconds;
 
-// Bounds the time until an unresponsive store is detected. A dead connection is
-// detected sooner by TCP keep-alive probes.
-constexpr milliseconds kWatchWait{5'000};
-// Added to the wait of a watch for the round trip and a slow answer.
-constexpr milliseconds kWatchGrace{1'000};
+// TCP keep-alive probes detect a dead connection before the answer is overdue.
 constexpr std::chrono::seconds kProbeInterval{1};
-// A host without a configuration refuses all callers, so the first read is
-// repeated early. A store that is 60 times slower than usual answers in about
-// 250 ms.
-constexpr milliseconds kFirstReadTimeout{600};
-constexpr milliseconds kReadTimeout{2'000};
-// Bounds of the pause between watches, which lets one call fetch several
-// changes. The pause doubles while changes continue, and stays well below the
-// time within which a configuration must be in force.
+// Pause between watches without changes. It doubles while changes continue.
 constexpr milliseconds kMinPause{250};
-constexpr milliseconds kMaxPause{1'000};
-// Maximum delay between attempts while the store does not answer.
-constexpr milliseconds kMaxRetryDelay{800};
 // Hosts that start at the same time are registered within this many intervals.
 constexpr std::size_t kMaxPeeks = 4;
 constexpr milliseconds kPeekInterval{700};
@@ -38,14 +24,6 @@
 
 namespace detail {
 
-Duration ReadTimeout(std::size_t failures) {
-  Duration timeout = kFirstReadTimeout;
-  for (std::size_t i = 0; i < failures && timeout < kReadTimeout; ++i) {
-    timeout *= 2;
-  }
-  return std::min<Duration>(timeout, kReadTimeout);
-}
-
 // No pause while further changes exist: later changes would be delayed, and in
 // a large fleet more changes can arrive per pause than one answer contains.
 Duration PauseAfter(const StorePage& page,
@@ -67,6 +45,7 @@
                        HostPort store_address,
                        std::string key_prefix,
                        std::uint64_t seed,
+                       StoreTiming store_timing,
                        Hooks watch_hooks)
     : context(relay_context),
       codec(store_codec),
@@ -75,16 +54,9 @@
       hooks(std::move(watch_hooks)),
       timer(relay_context.io),
       backoff(seed),
-      wait(kWatchWait),
-      max_pause(kMaxPause),
+      timing(store_timing),
       pause(kMinPause) {}
 
-void StoreWatch::SetTiming(std::chrono::milliseconds max_wait,
-                           Duration pause_limit) {
-  this->wait = max_wait;
-  this->max_pause = pause_limit;
-}
-
 void StoreWatch::Start() {
   this->ReadPage();
 }
@@ -107,6 +79,7 @@
 
 void StoreWatch::Resume() {
   ++this->generation;
+  this->confirmed = false;
   this->Watch();
 }
 
@@ -163,34 +136,51 @@
   }
 }
 
+// The first call that times out is repeated at once, because its change may be
+// waiting already. The others are spread, so that hosts that lost the store at
+// the same time do not return at the same time.
 void StoreWatch::RetryLater(std::string_view what,
                             const ExchangeResult& result) {
-  this->RetryLater(what, result.error.empty()
+  const bool at_once = result.timed_out && !this->lost;
+  this->ReportLoss(what, result.error.empty()
                              ? std::to_string(result.response.status)
                              : result.error);
+  this->Retry(at_once ? Duration::zero() : this->RetryDelay());
 }
 
-void StoreWatch::RetryLater(std::string_view what, std::string_view error) {
-  if (!std::exchange(this->lost, true)) {
-    this->lost_at = this->context.clock.Now();
-    LogEvent(spdlog::level::warn, "store_lost",
-             {{"prefix", this->prefix},
-              {"call", what},
-              {"error", error},
-              {"waited_ms", ToMilliseconds(this->lost_at - this->called_at)},
-              {"revision", this->revision}});
-    this->hooks.on_lost();
+void StoreWatch::RetryLater(std::string_view what, const Error& error) {
+  this->ReportLoss(what, error.what());
+  this->Retry(this->RetryDelay());
+}
+
+void StoreWatch::ReportLoss(std::string_view what, std::string_view error) {
+  if (std::exchange(this->lost, true)) {
+    return;
   }
+  this->lost_at = this->context.clock.Now();
+  LogEvent(spdlog::level::warn, "store_lost",
+           {{"prefix", this->prefix},
+            {"call", what},
+            {"error", error},
+            {"waited_ms", ToMilliseconds(this->lost_at - this->called_at)},
+            {"revision", this->revision}});
+  this->hooks.on_lost();
+}
+
+Duration StoreWatch::RetryDelay() {
+  return std::min<Duration>(this->backoff.Next(), this->timing.retry_delay());
+}
+
+void StoreWatch::Retry(Duration delay) {
   this->Schedule(
-      std::min<Duration>(this->backoff.Next(), kMaxRetryDelay),
-      this->has_snapshot ? &StoreWatch::Watch : &StoreWatch::ReadPage);
+      delay, this->has_snapshot ? &StoreWatch::Watch : &StoreWatch::ReadPage);
 }
 
 void StoreWatch::ReadPage() {
   const std::string after =
       this->snapshot.empty() ? std::string() : this->snapshot.back().key;
   this->Call(this->codec.encode_range(this->prefix, after, this->allow_stale),
-             detail::ReadTimeout(this->failed_reads), "range",
+             this->timing.ReadTimeout(this->failed_reads), "range",
              &StoreWatch::OnPage);
 }
 
@@ -204,7 +194,7 @@
   try {
     page = this->codec.decode_range(result.response);
   } catch (const Error& error) {
-    this->RetryLater("range", error.what());
+    this->RetryLater("range", error);
     return;
   }
   this->OnAnswer();
@@ -223,7 +213,7 @@
   this->failed_reads = 0;
   this->read_at = this->context.clock.Now();
   this->has_snapshot = true;
-  this->watch_answered = false;
+  this->confirmed = false;
   this->allow_stale = true;
   const StorePage all = {.items = std::move(this->snapshot),
                          .revision = this->snapshot_revision};
@@ -244,18 +234,23 @@
     return;
   }
   this->peeks = 0;
-  if (peek && !this->hooks.peek_prefix.empty()) {
+  if (peek && !this->hooks.peek_prefix.empty() && this->MayPeek()) {
     this->Schedule(kPeekInterval, &StoreWatch::Peek);
   } else {
     this->Watch();
   }
 }
 
+// Peeks put off the watch that confirms the data, which may be seconds old.
+bool StoreWatch::MayPeek() const {
+  return this->peeks < kMaxPeeks;
+}
+
 void StoreWatch::Peek() {
   ++this->peeks;
   this->Call(this->codec.encode_range(this->hooks.peek_prefix, "",
                                       /*allow_stale=*/true),
-             kFirstReadTimeout, "peek", &StoreWatch::OnPeek);
+             this->timing.ReadTimeout(0), "peek", &StoreWatch::OnPeek);
 }
 
 // Proceeds to the watch after any failure; the watch detects and reports a lost
@@ -274,20 +269,22 @@
   if (this->generation != before) {
     return;
   }
-  if (again && this->peeks < kMaxPeeks) {
+  if (again && this->MayPeek()) {
     this->Schedule(kPeekInterval, &StoreWatch::Peek);
   } else {
     this->Watch();
   }
 }
 
-// A read may be seconds old, so the first watch after it does not wait: its
-// answer shows whether the data is current.
+// Only a watch on data that is known to be current waits for changes. The
+// answer to any other call is due at once, so a lost one is noticed sooner.
 void StoreWatch::Watch() {
-  const milliseconds max_wait =
-      this->watch_answered ? this->wait : milliseconds(0);
+  const milliseconds max_wait = this->confirmed && !this->lost
+                                    ? this->timing.watch_wait()
+                                    : milliseconds(0);
   this->Call(this->codec.encode_watch(this->prefix, this->revision, max_wait),
-             max_wait + kWatchGrace, "watch", &StoreWatch::OnWatch);
+             max_wait + this->timing.watch_grace(), "watch",
+             &StoreWatch::OnWatch);
 }
 
 void StoreWatch::OnWatch(const ExchangeResult& result) {
@@ -308,18 +305,19 @@
   try {
     page = this->codec.decode_watch(result.response);
   } catch (const Error& error) {
-    this->RetryLater("watch", error.what());
+    this->RetryLater("watch", error);
     return;
   }
   this->OnAnswer();
-  if (!std::exchange(this->watch_answered, true)) {
+  if (!std::exchange(this->confirmed, true)) {
     LogEvent(spdlog::level::info, "store_confirmed",
              {{"prefix", this->prefix},
               {"revision", page.revision},
               {"since_read_ms",
                ToMilliseconds(this->context.clock.Now() - this->read_at)}});
   }
-  this->pause = detail::PauseAfter(page, this->pause, this->max_pause);
+  this->pause =
+      detail::PauseAfter(page, this->pause, this->timing.watch_pause());
   // Some of them may have been received from another host during the call.
   std::erase_if(page.items, [this](const StoreItem& item) {
     return item.revision <= this->revision;
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "auburnyard/backoff.h"
+#include "auburnyard/store_timing.h"
 #include "src/net/http_client.h"
 #include "src/relay/relay_context.h"
 #include "src/relay/store_call_outcome.h"
@@ -19,9 +20,6 @@
 
 namespace detail {
 
-/// Time-out of a read of all keys after `failures` failed ones.
-Duration ReadTimeout(std::size_t failures);
-
 /// Pause after an answer to a watch. `last` is the pause before it.
 Duration PauseAfter(const StorePage& page, Duration last, Duration pause_limit);
 
@@ -56,13 +54,13 @@
              HostPort store,
              std::string prefix,
              std::uint64_t seed,
+             StoreTiming timing,
              Hooks hooks);
 
   void Start();
   void Stop();
-  /// Sets the maximum wait of a watch, which bounds the time until an
-  /// unresponsive store is detected, and the maximum pause between watches.
-  void SetTiming(std::chrono::milliseconds wait, Duration max_pause);
+  /// Applies to later calls.
+  void SetTiming(StoreTiming changed) { this->timing = changed; }
   /// Makes no calls until Resume, which continues from the known revision. Must
   /// be called only while the store answers.
   void Pause();
@@ -78,6 +76,8 @@
  private:
   void ReadPage();
   void OnPage(const ExchangeResult& result);
+  /// Whether a peek now leaves time to confirm the data that was read.
+  bool MayPeek() const;
   void Peek();
   void OnPeek(const ExchangeResult& result);
   void Watch();
@@ -89,7 +89,10 @@
   void OnAnswer();
   /// Reports a failed call as a lost store and schedules the next attempt.
   void RetryLater(std::string_view what, const ExchangeResult& result);
-  void RetryLater(std::string_view what, std::string_view error);
+  void RetryLater(std::string_view what, const Error& error);
+  void ReportLoss(std::string_view what, std::string_view error);
+  Duration RetryDelay();
+  void Retry(Duration delay);
   void Schedule(Duration delay, void (StoreWatch::*next)());
 
   const RelayContext& context;
@@ -100,14 +103,15 @@
   std::shared_ptr<HttpConnection> connection;
   boost::asio::steady_timer timer;
   Backoff backoff;
-  std::chrono::milliseconds wait;   // of a watch, for a change
-  Duration max_pause;               // between watches
+  StoreTiming timing;
   Duration pause;                   // before the next watch
   std::vector<StoreItem> snapshot;  // pages read so far
   std::uint64_t snapshot_revision = 0;
   std::uint64_t revision = 0;
   bool has_snapshot = false;
-  bool watch_answered = false;  // a watch was answered since the last read
+  // A watch was answered since the last read or pause, so the data is current
+  // but for later changes.
+  bool confirmed = false;
   // False after lost history, which a stale read may predate.
   bool allow_stale = true;
   bool lost = false;
--- /dev/null
+++ b/test/mirror_reader_test.cc
@@ -0,0 +1,66 @@
+#include "src/relay/mirror_reader.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "platform/relay_codec.h"
+#include "platform/store_codec.h"
+#include "src/net/http_client.h"
+#include "util/relay_standin/store_standin.h"
+
+namespace auburnyard {
+
+namespace {
+
+constexpr std::chrono::milliseconds kChangeLimit{3'000};
+constexpr std::chrono::seconds kTestTimeout{20};  // terminates a hanging test
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(mirror_reader_test)
+
+// Guards against changes that arrive late because several mirrors in turn do
+// not answer and each of them is awaited as if it held the request.
+BOOST_AUTO_TEST_CASE(SilentMirrorsAreLeftWithinTheChangeLimit) {
+  constexpr std::size_t kSilentMirrors = 2;
+  Clock clock;
+  boost::asio::io_context io;
+  const RelayCodec codec = platform::MakeRelayCodec();
+  const StoreCodec store_codec = platform::MakeStoreCodec();
+  const RelayContext context{io, clock, codec};
+  // Mirrors speak the calls of the store.
+  util::StoreStandin silent(io);
+  util::StoreStandin answering(io);
+  silent.Listen();
+  answering.Listen();
+  silent.SetFault(util::StoreFault::kSilent);
+  answering.Put("a", "1");
+  std::size_t requests = 0;
+  bool received = false;
+  MirrorReader::Hooks hooks;
+  hooks.choose_mirror = [&] {
+    return ++requests <= kSilentMirrors ? silent.address()
+                                        : answering.address();
+  };
+  hooks.known_revision = [] { return std::optional<std::uint64_t>(1); };
+  hooks.on_page = [&](const StorePage& page, bool) {
+    received = received || !page.items.empty();
+  };
+  hooks.on_failure = [] {};
+  hooks.on_call = [](std::string_view, StoreCallOutcome) {};
+  const auto reader = std::make_shared<MirrorReader>(
+      context, store_codec, StoreTiming(kChangeLimit), std::move(hooks));
+  const TimePoint begin = clock.Now();
+  reader->Start();
+  while (!received && clock.Now() < begin + kTestTimeout) {
+    io.run_one_for(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(received);
+  BOOST_TEST(ToMilliseconds(clock.Now() - begin) <
+             ToMilliseconds(kChangeLimit));
+  reader->Stop();
+  io.run_for(std::chrono::milliseconds(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace auburnyard
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -79,6 +79,7 @@
   RelayService service{this->context, this->targets, this->peers, this->metrics,
                        RepeatBudgetLimits()};
   std::unique_ptr<StoreFollower> follower;
+  const std::chrono::milliseconds change_limit{3'000};  // by default
 };
 
 bool HasStatus(const std::string& line, int status) {
@@ -89,6 +90,19 @@
 
 BOOST_AUTO_TEST_SUITE(store_follower_test)
 
+// Guards against a 404 for a route that must already be in force, by a host
+// whose data is older than the change limit.
+BOOST_AUTO_TEST_CASE(DataOlderThanTheChangeLimitDeniesNoRoute) {
+  FollowerFixture fixture;
+  BOOST_REQUIRE(fixture.Eventually([&fixture] {
+    return fixture.store.calls("/kv-watch") > 1 &&
+           fixture.store.pending_watches() == 1;
+  }));
+  BOOST_TEST(HasStatus(fixture.AnswerWithoutRoute(), kStatusNotFound));
+  fixture.clock.Advance(fixture.change_limit + std::chrono::milliseconds(1));
+  BOOST_TEST(HasStatus(fixture.AnswerWithoutRoute(), kStatusUnavailable));
+}
+
 // Guards against metrics that do not show how late a configuration came into
 // force, or that calls to the store are lost without an error.
 BOOST_AUTO_TEST_CASE(MetricsShowLateConfigurationsAndLostAnswers) {
