Leave a silent mirror sooner after one that was silent too

A host that follows another one, or that asks others because the store does not answer it, awaited each silent mirror as long as one that holds the request for a change. After two of them in turn a change arrived after more than the limit (rule CONFIG; found by reading, not seen in a run).

Evidence: mirror_reader_test/SilentMirrorsAreLeftWithinTheChangeLimit needed 4.2 s for a limit of 3 s and passes now.

Fix: a request after the start or after a failure does not wait for changes, so its answer is due within the grace alone, like the calls to the store. A mirror that answers holds the next request as before.

--- a/src/relay/mirror_reader.cc
+++ b/src/relay/mirror_reader.cc
@@ -64,7 +64,8 @@
   }
   const auto known = this->hooks.known_revision();
   this->read_all = this->read_all || !known;
-  const milliseconds wait = this->timing.mirror_wait();
+  const milliseconds wait =
+      this->answered ? this->timing.mirror_wait() : milliseconds(0);
   const HttpCall call =
       this->read_all ? this->codec.encode_range("", "", /*allow_stale=*/false)
                      : this->codec.encode_watch("", *known, wait);
