Deny no route with data older than the change limit

Cause: the age above which a host answers 503 instead was at least the time that its own watch could take, 7.3 s, since a calm host reached that age. With waits that follow from the limit a calm host stays below the limit (store_timing_test/CalmHostIsNotOutdated), so that the limit itself is the bound.

Evidence: store_follower_test/DataOlderThanTheChangeLimitDeniesNoRoute got 404 and passes now, as does RoutesAreDeniedOnlyWithCurrentData, which guards against a host that never denies.

--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -159,8 +159,7 @@
 }
 
 bool StoreFollower::outdated() const {
-  return this->age() >
-         std::max<Duration>(this->identity.change_limit, milliseconds(7'300));
+  return this->age() > this->identity.change_limit;
 }
 
 void StoreFollower::ChooseSource() {
