Apply a change limit that is read again on SIGHUP

The limit that all waits for the store follow from was taken at the start only, although SIGHUP reads the settings again (docs/OPERATIONS.md). Found while looking for readers of the configuration that keep an old one; not seen in a run.

store_follower_test/ChangeLimitIsReplaced is new; it needs the new function, so it was not run on the code before.

--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -219,6 +219,7 @@
   try {
     RelaySettings changed = LoadRelaySettings(this->settings_path);
     this->service.SetBudgetLimits(BudgetLimits(changed));
+    this->follower.SetChangeLimit(changed.change_limit);
     this->settings = std::move(changed);
     LogEvent(spdlog::level::info, "settings_reloaded",
              {{"path", this->settings_path}});
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -143,8 +143,19 @@
 // Hosts that follow this one detect a loss of the store as late as this one
 // does, and must still receive changes in time.
 void StoreFollower::UpdateTiming() {
-  const bool has_followers = this->mirror_server.followers() > 0;
-  this->timing = StoreTiming(this->identity.change_limit, has_followers);
+  const bool followers = this->mirror_server.followers() > 0;
+  if (std::exchange(this->has_followers, followers) != followers) {
+    this->ApplyTiming();
+  }
+}
+
+void StoreFollower::SetChangeLimit(milliseconds limit) {
+  this->identity.change_limit = limit;
+  this->ApplyTiming();
+}
+
+void StoreFollower::ApplyTiming() {
+  this->timing = StoreTiming(this->identity.change_limit, this->has_followers);
   this->watch->SetTiming(this->timing);
   this->reader->SetTiming(this->timing);
 }
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -52,6 +52,8 @@
   /// Makes those hosts choose another source, before this host shuts down.
   void StopMirroring();
   void Sweep();
+  /// Applies to calls that begin later.
+  void SetChangeLimit(std::chrono::milliseconds limit);
   std::uint64_t revision() const { return this->mirror.revision(); }
   /// True if all keys were read at least once, whatever they contain.
   bool has_store_data() const { return this->watch->synchronized(); }
@@ -86,6 +88,7 @@
   void LeaveOutdatedMirror();
   void UpdateMirrorServer();
   void UpdateTiming();
+  void ApplyTiming();
   StoreWatch::Hooks WatchHooks();
   MirrorReader::Hooks ReaderHooks();
   /// Returns whether hosts that follow this one must be notified.
@@ -107,7 +110,8 @@
   MirrorServer mirror_server;
   MirrorChoice choice;
   std::mt19937_64 random;
-  StoreTiming timing;
+  bool has_followers = false;
+  StoreTiming timing;  // for `has_followers`
   // Mirror read instead of the store; may be empty.
   std::string followed_mirror;
   TimePoint next_choice{};
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -103,6 +103,20 @@
   BOOST_TEST(HasStatus(fixture.AnswerWithoutRoute(), kStatusUnavailable));
 }
 
+// Guards against a change limit that is read again and has no effect.
+BOOST_AUTO_TEST_CASE(ChangeLimitIsReplaced) {
+  constexpr std::chrono::milliseconds kLongerLimit{6'000};
+  FollowerFixture fixture;
+  BOOST_REQUIRE(fixture.Eventually([&fixture] {
+    return fixture.store.calls("/kv-watch") > 1 &&
+           fixture.store.pending_watches() == 1;
+  }));
+  fixture.clock.Advance(fixture.change_limit + std::chrono::milliseconds(1));
+  BOOST_TEST(fixture.follower->outdated());
+  fixture.follower->SetChangeLimit(kLongerLimit);
+  BOOST_TEST(!fixture.follower->outdated());
+}
+
 // Guards against metrics that do not show how late a configuration came into
 // force, or that calls to the store are lost without an error.
 BOOST_AUTO_TEST_CASE(MetricsShowLateConfigurationsAndLostAnswers) {
