Name the timing of the store by what it bounds

Reading of the diff: an unused accessor is removed, members say what they bound, and store_confirmed reports unconfirmed_ms, which also counts from the end of a pause; since_read_ms counted from a read that could be hours old when a host returned to the store.

--- a/include/auburnyard/store_timing.h
+++ b/include/auburnyard/store_timing.h
@@ -19,11 +19,8 @@
   explicit StoreTiming(std::chrono::milliseconds change_limit,
                        bool has_followers = false);
 
-  /// Time for a change to reach the hosts; the rest of the limit is a reserve
-  /// for slow hosts.
-  Duration budget() const { return this->time_budget; }
   /// Maximum wait of a watch for a change.
-  std::chrono::milliseconds watch_wait() const { return this->wait; }
+  std::chrono::milliseconds watch_wait() const { return this->longest_watch; }
   /// Time after the wait for the answer to a watch.
   Duration watch_grace() const { return this->grace; }
   /// Maximum pause between two watches.
@@ -35,7 +32,7 @@
   /// Data that was read is confirmed by a watch after this time at the latest.
   Duration confirm_within() const { return this->confirm; }
   /// Maximum wait of a request to a mirror for a change.
-  std::chrono::milliseconds mirror_wait() const { return this->held; }
+  std::chrono::milliseconds mirror_wait() const { return this->longest_hold; }
   /// Time after that wait for the answer of a mirror.
   Duration mirror_grace() const { return this->mirror_answer; }
   /// Delay after an answer of a mirror that does not hold requests, and after a
@@ -45,17 +42,17 @@
   Duration mirror_age() const { return this->confirm; }
 
  private:
-  Duration time_budget;
+  Duration budget;  // for a change to reach all hosts
   Duration grace;
   Duration pause;
-  std::chrono::milliseconds wait;
+  std::chrono::milliseconds longest_watch;
   Duration first_read;
   Duration retry;
   Duration max_read;
   Duration confirm;
   Duration mirror_answer;
   Duration mirror_delay;
-  std::chrono::milliseconds held;
+  std::chrono::milliseconds longest_hold;
 };
 
 }  // namespace auburnyard
--- a/src/core/store_timing.cc
+++ b/src/core/store_timing.cc
@@ -8,7 +8,8 @@
 
 using std::chrono::milliseconds;
 
-// Share of the change limit within which a change must reach the hosts.
+// Share of the change limit within which a change must reach the hosts; the
+// rest is a reserve for slow hosts.
 constexpr double kPropagationShare = 0.8;
 // A store that is 60 times slower than usual answers in about 250 ms, and a
 // busy host handles the answer late.
@@ -24,7 +25,8 @@
 constexpr double kFollowedPauseShare = 0.25;
 // A watch without changes costs a call; longer waits save little.
 constexpr milliseconds kMaxWatchWait{5'000};
-constexpr milliseconds kMinWatchWait{100};
+// Limits the number of calls at limits near the smallest one.
+constexpr milliseconds kMinWait{100};
 constexpr milliseconds kMaxRetryDelay{800};
 constexpr double kRetryShare = 1.0 / 3;
 // A host without a configuration refuses all callers, so the first read is
@@ -49,36 +51,33 @@
 }  // namespace
 
 StoreTiming::StoreTiming(milliseconds change_limit, bool has_followers)
-    : time_budget(Share(change_limit, kPropagationShare)),
-      grace(
-          std::min<Duration>(kMaxGrace, Share(this->time_budget, kGraceShare))),
-      pause(
-          std::min<Duration>(kMaxPause, Share(this->time_budget, kPauseShare))),
+    : budget(Share(change_limit, kPropagationShare)),
+      grace(std::min<Duration>(kMaxGrace, Share(this->budget, kGraceShare))),
+      pause(std::min<Duration>(kMaxPause, Share(this->budget, kPauseShare))),
       first_read(std::min<Duration>(kMaxFirstReadTimeout,
-                                    Share(this->time_budget, kFirstReadShare))),
-      retry(std::min<Duration>(kMaxRetryDelay,
-                               Share(this->time_budget, kRetryShare))),
+                                    Share(this->budget, kFirstReadShare))),
+      retry(
+          std::min<Duration>(kMaxRetryDelay, Share(this->budget, kRetryShare))),
       mirror_answer(std::min<Duration>(kMaxMirrorGrace,
-                                       Share(this->time_budget, kMirrorShare))),
+                                       Share(this->budget, kMirrorShare))),
       mirror_delay(std::min<Duration>(kMaxMirrorInterval,
-                                      Share(this->time_budget, kMirrorShare))) {
-  const Duration repeat = std::min<Duration>(
-      kMaxRepeatTime, Share(this->time_budget, kRepeatShare));
-  this->confirm = this->time_budget - this->grace - repeat;
-  Duration longest_wait = this->confirm;
+                                      Share(this->budget, kMirrorShare))) {
+  const Duration repeat =
+      std::min<Duration>(kMaxRepeatTime, Share(this->budget, kRepeatShare));
+  this->confirm = this->budget - this->grace - repeat;
+  Duration watch = this->confirm;
   if (has_followers) {
-    this->pause = Share(this->time_budget, kFollowedPauseShare);
-    longest_wait -= this->pause;
+    this->pause = Share(this->budget, kFollowedPauseShare);
+    watch -= this->pause;
   }
-  this->wait =
-      std::clamp(WholeMilliseconds(longest_wait), kMinWatchWait, kMaxWatchWait);
-  this->max_read =
-      std::clamp<Duration>(this->time_budget - this->retry - repeat,
-                           this->first_read, kMaxReadTimeout);
-  this->held =
-      std::clamp(WholeMilliseconds(this->time_budget - this->mirror_answer -
+  this->longest_watch =
+      std::clamp(WholeMilliseconds(watch), kMinWait, kMaxWatchWait);
+  this->max_read = std::clamp<Duration>(this->budget - this->retry - repeat,
+                                        this->first_read, kMaxReadTimeout);
+  this->longest_hold =
+      std::clamp(WholeMilliseconds(this->budget - this->mirror_answer -
                                    this->mirror_delay - repeat),
-                 kMinWatchWait, kMaxMirrorWait);
+                 kMinWait, kMaxMirrorWait);
 }
 
 Duration StoreTiming::ReadTimeout(std::size_t failures) const {
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -15,6 +15,7 @@
 
 // Interval of the choice between the store and a mirror.
 constexpr std::chrono::seconds kChoiceInterval{1};
+
 }  // namespace
 
 StoreFollower::StoreFollower(const RelayContext& context,
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -80,6 +80,7 @@
 void StoreWatch::Resume() {
   ++this->generation;
   this->confirmed = false;
+  this->unconfirmed_since = this->context.clock.Now();
   this->Watch();
 }
 
@@ -211,7 +212,7 @@
     return;
   }
   this->failed_reads = 0;
-  this->read_at = this->context.clock.Now();
+  this->unconfirmed_since = this->context.clock.Now();
   this->has_snapshot = true;
   this->confirmed = false;
   this->allow_stale = true;
@@ -243,9 +244,10 @@
 
 // Peeks put off the watch that confirms the data, which may be seconds old.
 bool StoreWatch::MayPeek() const {
-  const Duration since_read = this->context.clock.Now() - this->read_at;
+  const Duration unconfirmed =
+      this->context.clock.Now() - this->unconfirmed_since;
   return this->peeks < kMaxPeeks &&
-         since_read + kPeekInterval <= this->timing.confirm_within();
+         unconfirmed + kPeekInterval <= this->timing.confirm_within();
 }
 
 void StoreWatch::Peek() {
@@ -315,8 +317,8 @@
     LogEvent(spdlog::level::info, "store_confirmed",
              {{"prefix", this->prefix},
               {"revision", page.revision},
-              {"since_read_ms",
-               ToMilliseconds(this->context.clock.Now() - this->read_at)}});
+              {"unconfirmed_ms", ToMilliseconds(this->context.clock.Now() -
+                                                this->unconfirmed_since)}});
   }
   this->pause =
       detail::PauseAfter(page, this->pause, this->timing.watch_pause());
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -117,7 +117,8 @@
   bool lost = false;
   TimePoint lost_at{};    // start of the outage
   TimePoint called_at{};  // of the last call
-  TimePoint read_at{};    // end of the last complete read
+  // End of the last complete read, or of the last pause.
+  TimePoint unconfirmed_since{};
   bool stopped = false;
   std::size_t failed_reads = 0;  // since the last complete read
   std::size_t peeks = 0;         // since the last complete read
