--- a/test/mirror_reader_test.cc
+++ b/test/mirror_reader_test.cc
@@ -18,8 +18,7 @@
 
 BOOST_AUTO_TEST_SUITE(mirror_reader_test)
 
-// Guards against changes that arrive late because several mirrors in turn do
-// not answer and each of them is awaited as if it held the request.
+// Guards against awaiting silent mirrors in turn as if they held requests.
 BOOST_AUTO_TEST_CASE(SilentMirrorsAreLeftWithinTheChangeLimit) {
   constexpr std::size_t kSilentMirrors = 2;
   Clock clock;
--- a/test/relay_process_test.cc
+++ b/test/relay_process_test.cc
@@ -160,8 +160,7 @@
   BOOST_TEST(Eventually([&fleet] { return fleet.InForce(0, 3); }));
 }
 
-// Guards against hosts that serve an older configuration after they count as in
-// touch again, because the answers that brought the newer one were lost.
+// Guards against an older configuration in force once hosts are in touch.
 BOOST_AUTO_TEST_CASE(ConfigurationIsInForceAfterAnswersWereLost) {
   constexpr milliseconds kContactTime{4'000};
   Fleet fleet(25'900, /*hosts_per_domain=*/2, milliseconds(2'000),
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -90,8 +90,7 @@
 
 BOOST_AUTO_TEST_SUITE(store_follower_test)
 
-// Guards against a 404 for a route that must already be in force, by a host
-// whose data is older than the change limit.
+// Guards against a 404 for a route that must be in force, from old data.
 BOOST_AUTO_TEST_CASE(DataOlderThanTheChangeLimitDeniesNoRoute) {
   FollowerFixture fixture;
   BOOST_REQUIRE(fixture.Eventually([&fixture] {
--- a/test/store_watch_test.cc
+++ b/test/store_watch_test.cc
@@ -201,8 +201,7 @@
   BOOST_TEST(fixture.regained >= 1);
 }
 
-// Guards against serving an old read for long because the peeks after it put
-// off the watch that confirms it.
+// Guards against peeks that put off the watch which confirms an old read.
 BOOST_AUTO_TEST_CASE(PeeksLeaveTimeToConfirmTheRead) {
   WatchFixture fixture;
   fixture.peek_prefix = "hosts/";
@@ -216,9 +215,7 @@
              0.8 * ToMilliseconds(kChangeLimit));
 }
 
-// Guards against a change that is not in force in time because the answer that
-// brought it was lost, while the connection stays open and later calls are
-// answered.
+// Guards against a late change after its answer was lost without a trace.
 BOOST_AUTO_TEST_CASE(LostAnswerIsRepeatedWithinTheChangeLimit) {
   WatchFixture fixture;
   fixture.Start();
@@ -235,8 +232,7 @@
              ToMilliseconds(kChangeLimit));
 }
 
-// Guards against a call that is sent during an outage and holds back the
-// recovery after it, because its answer was lost as well.
+// Guards against a call during an outage that holds back the recovery.
 BOOST_AUTO_TEST_CASE(CallsDuringAnOutageTimeOutSoon) {
   WatchFixture fixture;
   fixture.Start();
