Bound the wait at a mirror by the age of the data

Cause: waits that follow one another, each of which fits the limit alone. A host looked for another mirror only once a second, and asked the new one to wait for a change because the one before it had answered.

Now StoreTiming::MirrorWait gives the wait that the age of the data leaves, and only a mirror that answered the last request is asked to wait. A change of the mirror is acted on with the page that shows it, and the reader begins anew. A mirror read during an outage is kept while its host watches the store, since a new one is asked without a wait.

--- a/include/auburnyard/store_timing.h
+++ b/include/auburnyard/store_timing.h
@@ -33,6 +33,10 @@
   Duration confirm_within() const { return this->confirm; }
   /// Maximum wait of a request to a mirror for a change.
   std::chrono::milliseconds mirror_wait() const { return this->longest_hold; }
+  /// Wait of a request that is sent while the data is `age` old, so that a
+  /// mirror that stays silent is replaced in time. Zero: no time is left to
+  /// wait.
+  std::chrono::milliseconds MirrorWait(Duration age) const;
   /// Time after that wait for the answer of a mirror.
   Duration mirror_grace() const { return this->mirror_answer; }
   /// Delay after an answer of a mirror that does not hold requests, and after a
@@ -50,6 +54,7 @@
   Duration retry;
   Duration max_read;
   Duration confirm;
+  Duration repeat;  // of a call, and its answer's way to followers
   Duration mirror_answer;
   Duration mirror_delay;
   std::chrono::milliseconds longest_hold;
--- a/src/core/store_timing.cc
+++ b/src/core/store_timing.cc
@@ -56,13 +56,13 @@
                                     Share(this->budget, kFirstReadShare))),
       retry(
           std::min<Duration>(kMaxRetryDelay, Share(this->budget, kRetryShare))),
+      repeat(std::min<Duration>(kMaxRepeatTime,
+                                Share(this->budget, kRepeatShare))),
       mirror_answer(std::min<Duration>(kMaxMirrorGrace,
                                        Share(this->budget, kMirrorShare))),
       mirror_delay(std::min<Duration>(kMaxMirrorInterval,
                                       Share(this->budget, kMirrorShare))) {
-  const Duration repeat =
-      std::min<Duration>(kMaxRepeatTime, Share(this->budget, kRepeatShare));
-  this->confirm = this->budget - this->grace - repeat;
+  this->confirm = this->budget - this->grace - this->repeat;
   Duration watch = this->confirm;
   if (has_followers) {
     watch -= this->pause;  // the way to the followers uses up the reserve
@@ -71,14 +71,21 @@
   }
   this->longest_watch =
       std::clamp(WholeMilliseconds(watch), kMinWait, kMaxWatchWait);
-  this->max_read = std::clamp<Duration>(this->budget - this->retry - repeat,
-                                        this->first_read, kMaxReadTimeout);
+  this->max_read =
+      std::clamp<Duration>(this->budget - this->retry - this->repeat,
+                           this->first_read, kMaxReadTimeout);
   this->longest_hold =
       std::clamp(WholeMilliseconds(this->budget - this->mirror_answer -
-                                   this->mirror_delay - repeat),
+                                   this->mirror_delay - this->repeat),
                  kMinWait, kMaxMirrorWait);
 }
 
+milliseconds StoreTiming::MirrorWait(Duration age) const {
+  const auto left = WholeMilliseconds(this->budget - this->repeat -
+                                      this->mirror_answer - age);
+  return left < kMinWait ? milliseconds(0) : std::min(left, this->longest_hold);
+}
+
 Duration StoreTiming::ReadTimeout(std::size_t failures) const {
   Duration timeout = this->first_read;
   for (std::size_t i = 0; i < failures && timeout < this->max_read; ++i) {
--- a/src/relay/mirror_reader.cc
+++ b/src/relay/mirror_reader.cc
@@ -26,7 +26,7 @@
 
 void MirrorReader::Start() {
   if (!std::exchange(this->running, true)) {
-    this->answered = false;
+    this->answered_by.clear();
     this->SendRequest();
   }
 }
@@ -54,18 +54,24 @@
   }
 }
 
-// A request after a failure does not wait for changes: its mirror may not
-// answer either, which shows sooner then.
+// Only a mirror that answered the last request is asked to wait for a change:
+// any other may be silent, which shows sooner without a wait.
+milliseconds MirrorReader::WaitAt(const std::string& mirror) const {
+  return mirror == this->answered_by
+             ? this->timing.MirrorWait(this->hooks.data_age())
+             : milliseconds(0);
+}
+
 void MirrorReader::SendRequest() {
-  this->Connect(this->hooks.choose_mirror());
+  const std::string mirror = this->hooks.choose_mirror();
+  this->Connect(mirror);
   if (this->connection == nullptr) {
     this->ScheduleRequest();
     return;
   }
   const auto known = this->hooks.known_revision();
   this->read_all = this->read_all || !known;
-  const milliseconds wait =
-      this->answered ? this->timing.mirror_wait() : milliseconds(0);
+  const milliseconds wait = this->WaitAt(mirror);
   const HttpCall call =
       this->read_all ? this->codec.encode_range("", "", /*allow_stale=*/false)
                      : this->codec.encode_watch("", *known, wait);
@@ -85,8 +91,8 @@
          this->timing.mirror_grace();
 }
 
-// Only a host that watches the store itself holds requests until a change; the
-// next request to any other host is delayed.
+// Only a host that watches the store itself holds requests until a change. The
+// next request to any other host, and one that does not wait, is delayed.
 bool MirrorReader::ApplyPage(const HttpResponse& response) {
   const std::uint64_t sent_generation = this->generation;
   StorePage page;
@@ -102,7 +108,7 @@
   this->read_all = false;
   this->hooks.on_page(page, is_snapshot);
   if (this->running && this->generation == sent_generation) {
-    if (page.direct) {
+    if (page.direct && this->WaitAt(this->connected_to) > milliseconds(0)) {
       this->SendRequest();
     } else {
       this->ScheduleRequest();
@@ -116,7 +122,7 @@
   const bool success = received && result.response.status == kStatusOk;
   const std::uint64_t sent_generation = this->generation;
   this->hooks.on_call("mirror", OutcomeOf(result));
-  this->answered = success;
+  this->answered_by = success ? this->connected_to : std::string();
   if (success && this->ApplyPage(result.response)) {
     return;
   }
--- a/src/relay/mirror_reader.h
+++ b/src/relay/mirror_reader.h
@@ -21,8 +21,11 @@
 class MirrorReader : public std::enable_shared_from_this<MirrorReader> {
  public:
   struct Hooks {
-    /// Address of the mirror to read next; empty if none is known.
+    /// Address of the mirror to read next; empty if none is known. Must return
+    /// the same one while it answers and its host watches the store.
     std::function<std::string()> choose_mirror;
+    /// Time since all changes had been received.
+    std::function<Duration()> data_age;
     /// Revision up to which changes have been applied; none before the first
     /// read.
     std::function<std::optional<std::uint64_t>()> known_revision;
@@ -47,6 +50,8 @@
 
  private:
   void SendRequest();
+  /// Wait of the next request to the mirror for a change.
+  std::chrono::milliseconds WaitAt(const std::string& mirror) const;
   Duration TimeoutOf(std::chrono::milliseconds wait) const;
   void Connect(const std::string& mirror);
   void OnAnswer(const ExchangeResult& result);
@@ -65,7 +70,8 @@
   // Answers to requests of earlier generations are ignored.
   std::uint64_t generation = 0;
   bool running = false;
-  bool answered = false;  // the last request, since the start
+  // Mirror that answered the last request since the start; may be empty.
+  std::string answered_by;
   bool read_all =
       false;  // the mirror no longer has the history that was requested
 };
--- a/src/relay/mirror_server.h
+++ b/src/relay/mirror_server.h
@@ -2,6 +2,7 @@
 #define AUBURNYARD_SRC_RELAY_MIRROR_SERVER_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,8 +23,9 @@
                const StoreCodec& codec,
                const StoreMirror& mirror);
 
-  /// Throws Error(kConnection).
+  /// Port 0 selects a free port. Throws Error(kConnection).
   void Listen(const std::string& address);
+  std::uint16_t port() const { return this->server->port(); }
   /// Sets whether this host watches the store and the store answers it.
   void SetDirect(bool watches_store);
   /// Sets the time up to which all changes of the store have been applied here.
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -90,11 +90,13 @@
 MirrorReader::Hooks StoreFollower::ReaderHooks() {
   MirrorReader::Hooks hooks;
   hooks.choose_mirror = [this] { return this->NextMirror(); };
+  hooks.data_age = [this] { return this->age(); };
   hooks.known_revision = [this] { return this->watch->known_revision(); };
   hooks.on_page = [this](const StorePage& page, bool is_snapshot) {
     this->OnMirrorPage(page, is_snapshot);
   };
   hooks.on_failure = [this] {
+    this->substitute_mirror.clear();
     if (!this->followed_mirror.empty()) {
       this->choice.OnFailure(this->followed_mirror, this->clock.Now());
       this->LeaveOutdatedMirror();
@@ -191,22 +193,32 @@
             {"revision", this->mirror.revision()}});
   const bool watched = this->followed_mirror.empty();
   this->followed_mirror = next;
+  this->reader->Stop();
   if (next.empty()) {
-    this->reader->Stop();
     this->watch->Resume();
-  } else if (watched) {
-    this->watch->Pause();
+  } else {
+    if (watched) {
+      this->watch->Pause();
+    }
     this->reader->Start();
   }
   this->UpdateMirrorServer();
 }
 
 // While the store does not answer this host, a random mirror of any host is
-// read, because hosts of one failure domain often lose the store together.
+// read, because hosts of one failure domain often lose the store together. It
+// is kept while its host watches the store.
 std::string StoreFollower::NextMirror() {
   if (!this->followed_mirror.empty()) {
     return this->followed_mirror;
   }
+  if (this->substitute_mirror.empty()) {
+    this->substitute_mirror = this->PickSubstitute();
+  }
+  return this->substitute_mirror;
+}
+
+std::string StoreFollower::PickSubstitute() {
   std::vector<std::string> addresses;
   for (const HostEntry& host : this->hosts.RegisteredHosts()) {
     if (host.name != this->identity.host_name && !host.mirror_address.empty()) {
@@ -226,6 +238,9 @@
 // Without contact to the store, this host cannot tell whether the other host
 // defers removals after losing the store itself, so it defers all of them.
 void StoreFollower::OnMirrorPage(const StorePage& page, bool is_snapshot) {
+  if (!page.direct) {
+    this->substitute_mirror.clear();
+  }
   if (is_snapshot && page.revision < this->mirror.revision()) {
     return;
   }
@@ -252,6 +267,8 @@
   }
   this->watch->Advance(page.revision);
   this->LeaveOutdatedMirror();
+  // The page may show that the followed host has left.
+  this->ChooseSource();
 }
 
 // Switches to the store for a while. A mirror that has lost the store is kept
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -84,6 +84,7 @@
   void OnChanges(const StorePage& page, const PageOrigin& origin);
   void OnMirrorPage(const StorePage& page, bool is_snapshot);
   std::string NextMirror();
+  std::string PickSubstitute();
   void ChooseSource();
   void LeaveOutdatedMirror();
   void UpdateMirrorServer();
@@ -114,6 +115,8 @@
   StoreTiming timing;  // for `has_followers`
   // Mirror read instead of the store; may be empty.
   std::string followed_mirror;
+  // Mirror read while the store does not answer; may be empty.
+  std::string substitute_mirror;
   TimePoint next_choice{};
   TimePoint up_to_date_at{};  // all changes up to this time are applied
   std::size_t followed_domain_size = 0;  // as last reported by the mirror
--- a/test/mirror_reader_test.cc
+++ b/test/mirror_reader_test.cc
@@ -40,6 +40,7 @@
     return ++requests <= kSilentMirrors ? silent.address()
                                         : answering.address();
   };
+  hooks.data_age = [] { return Duration::zero(); };
   hooks.known_revision = [] { return std::optional<std::uint64_t>(1); };
   hooks.on_page = [&](const StorePage& page, bool) {
     received = received || !page.items.empty();
@@ -60,6 +61,46 @@
   io.run_for(std::chrono::milliseconds(1));
 }
 
+// Guards against waiting for a change at a mirror that has not answered yet,
+// because the mirror before it did.
+BOOST_AUTO_TEST_CASE(ANewMirrorIsAskedForAnImmediateAnswer) {
+  Clock clock;
+  boost::asio::io_context io;
+  const RelayCodec codec = platform::MakeRelayCodec();
+  const StoreCodec store_codec = platform::MakeStoreCodec();
+  const RelayContext context{io, clock, codec};
+  util::StoreStandin answering(io);
+  util::StoreStandin silent(io);
+  answering.Listen();
+  silent.Listen();
+  silent.SetFault(util::StoreFault::kSilent);
+  answering.Put("a", "1");
+  TimePoint answered_at{};
+  TimePoint failed_at{};
+  MirrorReader::Hooks hooks;
+  hooks.choose_mirror = [&] {
+    return answered_at == TimePoint() ? answering.address() : silent.address();
+  };
+  hooks.data_age = [] { return Duration::zero(); };
+  hooks.known_revision = [] { return std::optional<std::uint64_t>(1); };
+  hooks.on_page = [&](const StorePage&, bool) { answered_at = clock.Now(); };
+  hooks.on_failure = [&] { failed_at = clock.Now(); };
+  hooks.on_call = [](std::string_view, StoreCallOutcome) {};
+  const StoreTiming timing(kChangeLimit);
+  const auto reader = std::make_shared<MirrorReader>(context, store_codec,
+                                                     timing, std::move(hooks));
+  const TimePoint begin = clock.Now();
+  reader->Start();
+  while (failed_at == TimePoint() && clock.Now() < begin + kTestTimeout) {
+    io.run_one_for(std::chrono::milliseconds(50));
+  }
+  BOOST_REQUIRE((answered_at != TimePoint() && failed_at != TimePoint()));
+  BOOST_TEST(ToMilliseconds(failed_at - answered_at) <
+             ToMilliseconds(timing.mirror_interval() + timing.mirror_wait()));
+  reader->Stop();
+  io.run_for(std::chrono::milliseconds(1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -4,6 +4,7 @@
 
 #include "platform/relay_codec.h"
 #include "platform/store_codec.h"
+#include "src/relay/mirror_server.h"
 #include "util/relay_standin/store_standin.h"
 
 namespace auburnyard {
@@ -20,10 +21,19 @@
 constexpr std::string_view kNewerRoutes =
     R"({"version":4,"routes":[],"services":[],"limits":{}})";
 
+/// Registration of a host whose mirror is followed if it has the most cores.
+std::string HostValue(std::string_view mirror_address, int cores) {
+  return R"({"address":"","failure_domain":"d1","cores":)" +
+         std::to_string(cores) + R"(,"mirror":")" +
+         std::string(mirror_address) + R"("})";
+}
+
 class FollowerFixture {
  public:
-  FollowerFixture() {
-    this->clock.Pause();
+  explicit FollowerFixture(bool pause_clock = true) {
+    if (pause_clock) {
+      this->clock.Pause();
+    }
     this->store.Listen();
     this->store.Put("op/config", std::string(kRoutes));
     this->service.SetOutdatedCheck(
@@ -220,6 +230,60 @@
   BOOST_TEST(fixture.follower->revision() >= 1'000U);
 }
 
+// Guards against a change that is late because the mirror that is followed
+// leaves and the next one is silent, so that one wait follows another.
+BOOST_AUTO_TEST_CASE(SilentSuccessorOfALeavingMirrorDelaysNoChange) {
+  FollowerFixture fixture(/*pause_clock=*/false);
+  // Mirrors speak the calls of the store.
+  util::StoreStandin silent(fixture.io);
+  silent.Listen();
+  silent.SetFault(util::StoreFault::kSilent);
+  // Hosts without a mirror make the domain large enough for mirrors.
+  for (const std::string_view name : {"a", "b", "c", "h1"}) {
+    fixture.store.Put("hosts/" + std::string(name), HostValue("", 1));
+  }
+  fixture.store.Put("hosts/silent", HostValue(silent.address(), 2));
+  StoreMirror leaving_data;
+  MirrorServer leaving(fixture.context, fixture.store_codec, leaving_data);
+  leaving.Listen("127.0.0.1:0");
+  const std::string leaving_address =
+      "127.0.0.1:" + std::to_string(leaving.port());
+  leaving.SetDirect(true);
+  const std::string leaving_key = "hosts/leaving";
+  fixture.store.Put(leaving_key, HostValue(leaving_address, 4));
+  leaving_data.Advance(1);
+  const auto confirm = [&fixture, &leaving] {
+    leaving.SetUpToDateAt(fixture.clock.Now());
+    leaving.Sweep();
+  };
+  BOOST_REQUIRE(fixture.Eventually([&] {
+    confirm();
+    fixture.follower->Sweep();
+    leaving_data.Advance(fixture.follower->revision());
+    return leaving.pending_requests() == 1;
+  }));
+  confirm();
+  fixture.follower->Sweep();  // the next choice is as late as possible
+  fixture.store.Put("op/config", std::string(kNewerRoutes));
+  const TimePoint acknowledged = fixture.clock.Now();
+  const StoreTiming timing(fixture.change_limit, /*has_followers=*/true);
+  while (fixture.clock.Now() < acknowledged + timing.watch_pause()) {
+    fixture.io.restart();
+    fixture.io.run_one_for(std::chrono::milliseconds(10));
+  }
+  leaving_data.Put({.key = leaving_key,
+                    .revision = fixture.follower->revision() + 1,
+                    .removed = true},
+                   /*significant=*/true);
+  leaving.SetDirect(false);
+  BOOST_TEST(fixture.Eventually([&fixture] {
+    fixture.follower->Sweep();
+    return fixture.service.routes()->version() == 4;
+  }));
+  BOOST_TEST(ToMilliseconds(fixture.clock.Now() - acknowledged) <
+             ToMilliseconds(fixture.change_limit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/test/store_timing_test.cc
+++ b/test/store_timing_test.cc
@@ -97,6 +97,36 @@
   });
 }
 
+// Guards against one wait after another: a mirror that falls silent when the
+// data is old already, so that its followers turn to the store too late.
+BOOST_AUTO_TEST_CASE(SilentMirrorIsLeftWithinTheLimitAtAnyAge) {
+  ForEachTiming([](int limit, const StoreTiming& timing) {
+    BOOST_TEST_CONTEXT("limit " << limit << " ms") {
+      for (int age = 0; age <= limit; age += 20) {
+        const milliseconds wait = timing.MirrorWait(milliseconds(age));
+        if (wait > milliseconds(0)) {
+          BOOST_TEST(ToMilliseconds(milliseconds(age) + wait +
+                                    timing.mirror_grace() + 2 * kAnswer) <=
+                     0.8 * limit);
+        }
+      }
+    }
+  });
+}
+
+// Guards against followers that ask a calm mirror over and over because its
+// data seems too old to wait.
+BOOST_AUTO_TEST_CASE(RequestsToACalmMirrorWait) {
+  for (int limit = kMinLimitMs; limit <= kMaxLimitMs; limit += kLimitStepMs) {
+    const StoreTiming timing(milliseconds(limit), /*has_followers=*/true);
+    BOOST_TEST_CONTEXT("limit " << limit << " ms") {
+      BOOST_TEST((timing.MirrorWait(timing.watch_pause() +
+                                    timing.watch_wait()) > milliseconds(0)));
+      BOOST_TEST((timing.MirrorWait(Duration::zero()) == timing.mirror_wait()));
+    }
+  }
+}
+
 // Guards against denying routes in calm times: data as old as a calm host may
 // have must not count as outdated.
 BOOST_AUTO_TEST_CASE(CalmHostIsNotOutdated) {
