Read a caller's bytes apart from the buffer that is parsed

Cause: a read into the parsed buffer was in progress while the pipelined request was parsed. Consuming the buffer's last byte moves its end back to the start, so that the completed read exposed old bytes in place of those received.

The read has its own array now, and the received bytes are appended when it completes, so that the parser may consume the buffer at any time. TargetConnection consumes its buffer only between reads and is not affected.

RequestsAfterPipelinedOnesAreHandledOnce failed before: the first request after a pipelined pair got no answer. It passes, with the rest of caller_server_test.

--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
 // Limit of the pipelined bytes buffered while a request is in progress. Beyond
 // it the socket is not read until the response is sent.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
@@ -53,6 +52,8 @@
          this->buffer.size() == 0;
 }
 
+// Does not read into the buffer: the previous requests may be parsed, and their
+// bytes removed from it, before the read completes.
 void CallerSession::Read() {
   if (this->reading || this->closed ||
       (this->in_progress && this->buffer.size() >= kMaxPipelinedBytes)) {
@@ -60,7 +61,7 @@
   }
   this->reading = true;
   this->socket.async_read_some(
-      this->buffer.prepare(kReadBytes),
+      asio::buffer(this->received),
       [self = this->shared_from_this()](boost::beast::error_code error,
                                         std::size_t size) {
         self->reading = false;
@@ -76,7 +77,8 @@
     this->Close();
     return;
   }
-  this->buffer.commit(size);
+  this->buffer.commit(asio::buffer_copy(this->buffer.prepare(size),
+                                        asio::buffer(this->received, size)));
   if (!this->in_progress) {
     this->Parse();
   }
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_SRC_RELAY_CALLER_SESSION_H_
 #define AUBURNYARD_SRC_RELAY_CALLER_SESSION_H_
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -48,6 +49,7 @@
  private:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
+  static constexpr std::size_t kReadBytes = 16 * 1024;
 
   void NewParser();
   void Read();
@@ -62,7 +64,8 @@
   boost::asio::ip::tcp::socket socket;
   CallerLimits limits;
   const Hooks& hooks;
-  boost::beast::flat_buffer buffer;
+  std::array<char, kReadBytes> received;  // by the read in progress
+  boost::beast::flat_buffer buffer;       // not parsed yet
   std::optional<Parser> parser;
   std::string response_head;
   std::string response_body;
--- a/test/caller_server_test.cc
+++ b/test/caller_server_test.cc
@@ -1,10 +1,16 @@
 #include "src/relay/caller_server.h"
 
+#include <future>
 #include <thread>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "platform/relay_codec.h"
@@ -14,9 +20,12 @@
 namespace {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 
-// Answers each request with its path and body; never answers requests for
-// /held.
+constexpr std::chrono::seconds kTestTimeout{5};  // terminates a hanging test
+
+// Answers each request with its path and body, requests for /later/ after a
+// delay; never answers requests for /held.
 class ServerFixture {
  public:
   ServerFixture() {
@@ -34,7 +43,17 @@
         ++this->deferred;
         return [this] { ++this->cancelled; };
       }
-      respond({"HTTP/1.1 200 OK\r\n", request.path + "=" + request.body});
+      this->handled.push_back(request.path);
+      const CallerAnswer answer{"HTTP/1.1 200 OK\r\n",
+                                request.path + "=" + request.body};
+      if (!request.path.starts_with("/later/")) {
+        respond(answer);
+        return nullptr;
+      }
+      auto timer = std::make_shared<asio::steady_timer>(this->io, kDelay);
+      timer->async_wait([timer, respond, answer](boost::system::error_code) {
+        respond(answer);
+      });
       return nullptr;
     };
     this->server = std::make_unique<CallerServer>(this->context, hooks);
@@ -43,6 +62,12 @@
     this->thread = std::jthread([this] { this->io.run(); });
   }
   ~ServerFixture() { this->io.stop(); }
+  // Paths in the order in which the requests were handled.
+  std::vector<std::string> Handled() {
+    std::promise<std::vector<std::string>> copy;
+    asio::post(this->io, [this, &copy] { copy.set_value(this->handled); });
+    return copy.get_future().get();
+  }
   ServerFixture(const ServerFixture&) = delete;
   ServerFixture& operator=(const ServerFixture&) = delete;
 
@@ -68,6 +93,9 @@
   std::unique_ptr<CallerServer> server;
 
  private:
+  static constexpr std::chrono::milliseconds kDelay{20};
+
+  std::vector<std::string> handled;
   Clock clock;
   RelayCodec codec = platform::MakeRelayCodec();
   RelayContext context{this->io, this->clock, this->codec};
@@ -75,6 +103,10 @@
   std::jthread thread;
 };
 
+std::string Get(const std::string& path) {
+  return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
 constexpr std::string_view kLast =
     "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
@@ -98,6 +130,43 @@
   BOOST_TEST(third != std::string::npos);
 }
 
+// Guards against a request that runs twice, and an answer that belongs to
+// another request, after pipelined ones on the same connection.
+BOOST_AUTO_TEST_CASE(RequestsAfterPipelinedOnesAreHandledOnce) {
+  constexpr int kRounds = 3;
+  ServerFixture fixture;
+  asio::io_context client;
+  boost::beast::tcp_stream stream(fixture.Connect(client));
+  boost::beast::flat_buffer buffer;
+  std::vector<std::string> asked;
+  const auto send = [&](const std::vector<std::string>& paths) {
+    std::string bytes;
+    for (const std::string& path : paths) {
+      bytes += Get(path);
+      asked.push_back(path);
+    }
+    asio::write(stream.socket(), asio::buffer(bytes));
+  };
+  const auto read_answer = [&] {
+    http::response<http::string_body> answer;
+    stream.expires_after(kTestTimeout);
+    http::async_read(stream, buffer, answer,
+                     [](boost::beast::error_code, std::size_t) {});
+    client.restart();
+    client.run();
+    return answer.body();
+  };
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string prefix = "/later/" + std::to_string(round);
+    send({prefix + "first", prefix + "second"});
+    BOOST_TEST(read_answer() == prefix + "first=");
+    BOOST_TEST(read_answer() == prefix + "second=");
+    send({prefix + "third"});
+    BOOST_TEST(read_answer() == prefix + "third=");
+  }
+  BOOST_TEST(fixture.Handled() == asked, boost::test_tools::per_element());
+}
+
 // Guards against chunked bodies being forwarded with their chunk framing.
 BOOST_AUTO_TEST_CASE(ChunkedBodyIsDecoded) {
   const ServerFixture fixture;
