Ignore refusals that name no request on a used connection

Targets echo the identifier, but an example of their refusals has none. On a new connection no other request can be meant, so that such a refusal holds there. On one that was used before it proves nothing: it is skipped and the reply of this request is awaited, for 1 s at most, after which the outcome is unknown.

LateRefusalWithoutIdentifierIsSkipped and RefusalWithoutIdentifierProvesNothingOnAUsedConnection failed before and pass now.

--- a/src/relay/target_connection.cc
+++ b/src/relay/target_connection.cc
@@ -82,6 +82,7 @@
   this->attempt_head = std::move(head_end);
   this->written = false;
   this->discarded = 0;
+  this->unnamed_at.reset();
   this->NewParser();
   const TargetExchange::SharedRequest& request = *this->current->request;
   const std::array<asio::const_buffer, 3> message = {
@@ -161,18 +162,16 @@
   BeastResponse response = this->parser->release();
   ExchangeEnd end;
   end.head = this->context.codec.decode_reply(response);
-  const bool named = !end.head.request_id.empty();
-  if (named && end.head.request_id != this->current->request->request_id) {
-    if (++this->discarded > kMaxDiscarded || needs_eof) {
-      this->Fail();
+  if (!this->AnswersExchange(end.head)) {
+    const bool named = !end.head.request_id.empty();
+    if (!named && !this->used_before) {
+      this->Fail();  // only a refusal may omit the request identifier
       return;
     }
-    this->NewParser();
-    return;
-  }
-  // Only a refusal may omit the request identifier.
-  if (!named && !end.head.refused) {
-    this->Fail();
+    if (!named && !this->unnamed_at) {
+      this->unnamed_at = this->context.clock.Now();
+    }
+    this->SkipReply(needs_eof);
     return;
   }
   end.complete = true;
@@ -194,7 +193,26 @@
   this->End(std::move(end), reusable);
 }
 
+// A refusal without an identifier counts only on a connection on which no other
+// request was sent: after another one it may be a late reply to that, while the
+// target runs the current request.
+bool TargetConnection::AnswersExchange(const ReplyHead& head) const {
+  if (head.request_id.empty()) {
+    return head.refused && !this->used_before;
+  }
+  return head.request_id == this->current->request->request_id;
+}
+
+void TargetConnection::SkipReply(bool needs_eof) {
+  if (++this->discarded > kMaxDiscarded || needs_eof) {
+    this->Fail();
+    return;
+  }
+  this->NewParser();
+}
+
 void TargetConnection::End(ExchangeEnd end, bool reusable) {
+  this->used_before = true;
   if (reusable) {
     this->state = State::kIdle;
     this->state_since = this->context.clock.Now();
--- a/src/relay/target_connection.h
+++ b/src/relay/target_connection.h
@@ -59,6 +59,9 @@
   /// Time from the connection's start until it was established.
   Duration connect_time() const { return this->connected_in; }
   TimePoint sent_at() const { return this->exchange_sent_at; }
+  /// Time of the first reply in this exchange that named no request and was
+  /// skipped; empty: none.
+  std::optional<TimePoint> unnamed_reply_at() const { return this->unnamed_at; }
   const TargetExchangePtr& exchange() const { return this->current; }
   /// Time after which the idle connection must not be used, because the target
   /// may close it.
@@ -73,6 +76,10 @@
   void OnRead(boost::beast::error_code error, std::size_t size);
   void OnBytes();
   void OnMessage();
+  /// Whether a reply belongs to the current exchange.
+  bool AnswersExchange(const ReplyHead& head) const;
+  /// Reads on after a reply that belongs to another request.
+  void SkipReply(bool needs_eof);
   void NewParser();
   void End(ExchangeEnd end, bool reusable);
   void Fail();
@@ -92,6 +99,8 @@
   std::chrono::seconds probe_interval{0};  // 0: none
   bool written = false;
   std::uint32_t discarded = 0;  // replies to other requests in this exchange
+  std::optional<TimePoint> unnamed_at;
+  bool used_before = false;  // for an earlier exchange
 };
 
 using TargetConnectionPtr = std::shared_ptr<TargetConnection>;
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -30,6 +30,9 @@
 constexpr milliseconds kMinAnswerTime{5};
 // Another entry host whose answer is later than this is treated as unreachable.
 constexpr milliseconds kLateAnswerMargin{50};
+// Time that the reply to an exchange may still take after one without an
+// identifier. If that one refused the exchange, no other follows.
+constexpr milliseconds kUnnamedReplyWait{1'000};
 // Maximum number of exchanges that wait for a connection to one target.
 constexpr std::size_t kMaxWaiting = 64;
 // Limit for idle connections of targets that do not report an idle time-out.
@@ -336,7 +339,12 @@
           this->linger, LingerTime(*this->state, connection->sent_at()));
       const bool lingered = exchange->ended && exchange->request->idempotent &&
                             now - exchange->abandoned_at >= allowed;
-      if (now > exchange->request->deadline + kDeadlineGrace || lingered) {
+      const auto unnamed = connection->unnamed_reply_at();
+      if (unnamed && now >= *unnamed + kUnnamedReplyWait) {
+        connection->Close();
+        this->OnEnd(connection, {});
+      } else if (now > exchange->request->deadline + kDeadlineGrace ||
+                 lingered) {
         this->CountLateExchange(*connection, lingered, now);
         connection->Close();
         this->Remove(connection);
--- a/test/target_pool_test.cc
+++ b/test/target_pool_test.cc
@@ -15,6 +15,9 @@
 using test::ScriptedServer;
 
 constexpr std::chrono::seconds kTestTimeout{20};  // terminates a hanging test
+constexpr std::string_view kUnnamedRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Auburnyard-Not-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
 
 std::string Reply(std::string_view request_id,
                   std::string_view body,
@@ -75,6 +78,7 @@
     while (!done() && this->clock.Now() < limit) {
       this->io.restart();
       this->io.run_one_for(std::chrono::milliseconds(50));
+      this->pool->Sweep();
     }
   }
 
@@ -264,6 +268,46 @@
   BOOST_TEST(server.connections() == 1);
 }
 
+// Guards against a request that runs twice, because late bytes of a target that
+// name no request are taken for the refusal of the next one on the connection.
+BOOST_AUTO_TEST_CASE(LateRefusalWithoutIdentifierIsSkipped) {
+  int answered = 0;
+  ScriptedServer server([&answered](const std::string&) {
+    return ScriptedReply{++answered == 1 ? Reply("id", "first")
+                                         : std::string(kUnnamedRefusal) +
+                                               Reply("id", "second")};
+  });
+  PoolFixture fixture(server.address());
+  BOOST_TEST(fixture.Exchange().reply->body == "first");
+  const auto result = fixture.Exchange();
+  BOOST_REQUIRE(result.reply);
+  BOOST_TEST(result.reply->body == "second");
+}
+
+// Guards against the same if the real reply does not arrive, and against a
+// caller that waits for it until its deadline.
+BOOST_AUTO_TEST_CASE(RefusalWithoutIdentifierProvesNothingOnAUsedConnection) {
+  int answered = 0;
+  ScriptedServer server([&answered](const std::string&) {
+    return ScriptedReply{++answered == 1 ? Reply("id", "first")
+                                         : std::string(kUnnamedRefusal)};
+  });
+  PoolFixture fixture(server.address());
+  BOOST_TEST(fixture.Exchange().reply->body == "first");
+  const TimePoint begin = fixture.clock.Now();
+  const auto result = fixture.Exchange();
+  BOOST_TEST((result.failure == PartFailure::kLost));
+  BOOST_TEST(ToMilliseconds(fixture.clock.Now() - begin) <
+             ToMilliseconds(kTestTimeout) / 4);
+}
+
+// Guards against requests that are not repeated although their target refused
+// them: on a new connection, no other request can be meant.
+BOOST_AUTO_TEST_CASE(RefusalWithoutIdentifierHoldsOnANewConnection) {
+  const auto result = ExchangeWith({std::string(kUnnamedRefusal)});
+  BOOST_TEST((result.failure == PartFailure::kRefused));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
