Authenticate callers by the keys of client accounts

Cause: keys were forwarded to targets, and requests with unknown or revoked keys ran. A request without a valid key gets 401, or 503 while newer keys may exist. Targets get the name of the account on all paths, bundles included. AccountAdmission is the hook for limits shared by all hosts.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -79,6 +79,8 @@
   /// Parts that are first requested in bundles and not by attempts of this
   /// host.
   std::vector<PartBundle> bundles;
+  /// Order among waiting requests, 0 is first.
+  std::uint32_t priority = 0;
   /// Estimate for the kind of request; null: not known.
   std::shared_ptr<WorkEstimate> work;
   TimePoint arrival{};
--- a/include/auburnyard/route.h
+++ b/include/auburnyard/route.h
@@ -30,6 +30,7 @@
   std::vector<std::string> shards;
   std::uint32_t top_records = 0;
   double min_coverage = 1;
+  bool authentication_exempt = false;  ///< callers need no key
 
   bool fans_out() const { return !this->shards.empty(); }
 };
--- a/include/auburnyard/route_table.h
+++ b/include/auburnyard/route_table.h
@@ -3,10 +3,12 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "auburnyard/account_table.h"
 #include "auburnyard/route.h"
 
 namespace auburnyard {
@@ -32,10 +34,15 @@
   RouteTable(std::uint64_t version,
              std::vector<Route> routes,
              std::map<std::string, ServiceLimits, std::less<>> services,
-             CallerLimits limits);
+             CallerLimits limits,
+             std::shared_ptr<const AccountTable> accounts = nullptr);
 
   std::uint64_t version() const { return this->table_version; }
   const CallerLimits& limits() const { return this->caller_limits; }
+  /// Client accounts; null if callers need no key.
+  const std::shared_ptr<const AccountTable>& accounts() const {
+    return this->account_table;
+  }
   /// Limits of a service, or null.
   const ServiceLimits* Service(std::string_view name) const;
   /// Returns the route of the host with the longest matching path prefix, or
@@ -51,6 +58,7 @@
   std::map<std::string, std::vector<Route>, std::less<>> routes;
   std::map<std::string, ServiceLimits, std::less<>> services;
   CallerLimits caller_limits;
+  std::shared_ptr<const AccountTable> account_table;
 };
 
 /// Host name in lower case, without its port.
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -23,10 +23,12 @@
     std::uint64_t version,
     std::vector<Route> all_routes,
     std::map<std::string, ServiceLimits, std::less<>> all_services,
-    CallerLimits limits)
+    CallerLimits limits,
+    std::shared_ptr<const AccountTable> accounts)
     : table_version(version),
       services(std::move(all_services)),
-      caller_limits(limits) {
+      caller_limits(limits),
+      account_table(std::move(accounts)) {
   for (Route& route : all_routes) {
     route.host = NormalizeHost(route.host);
     this->routes[route.host].push_back(std::move(route));
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -25,6 +25,7 @@
   std::uint32_t max_attempts = 1;  ///< for each part
   std::uint32_t priority = 0;
   std::chrono::milliseconds latency_objective{0};
+  std::string account;  ///< of the caller; may be empty
 };
 
 /// A caller's request, decoded.
@@ -38,6 +39,8 @@
   std::optional<std::chrono::milliseconds> answer_within;
   /// Set if the request names the parts that another entry host needs.
   std::optional<BundleRequest> bundle;
+  std::string api_key;  ///< of the caller; may be empty
+  std::string account;  ///< set by this host; empty: none
   /// Request line and forwarded headers, without the terminating empty line.
   std::string forwarded_head;
   std::string body;
@@ -68,6 +71,8 @@
 /// deployment.
 struct RelayCodec {
   std::function<CallerRequest(BeastRequest request)> decode_request;
+  /// Header that names the caller's account to a target.
+  std::function<std::string(std::string_view name)> encode_account;
   /// Remaining headers of one attempt, including the terminating empty line.
   std::function<std::string(std::chrono::milliseconds left,
                             std::string_view target_id)>
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -127,6 +127,11 @@
 
 void RelayHost::Run() {
   this->service.SetOutdatedCheck([this] { return this->follower.outdated(); });
+  this->service.SetRevocationCheck([this] {
+    const AccountSettings& accounts = this->settings.accounts;
+    return accounts.revoke_on_partition &&
+           this->follower.age() > accounts.revocation_limit;
+  });
   // A write to a connection that the peer closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   LogEvent(spdlog::level::info, "host_started",
--- a/src/relay/relay_job.h
+++ b/src/relay/relay_job.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "auburnyard/route_table.h"
 #include "src/relay/caller_answer.h"
@@ -17,7 +19,12 @@
   std::function<void(CallerAnswer)> respond;
   std::shared_ptr<const RouteTable> table;  ///< in force at the arrival
   const Route* route = nullptr;
+  const ClientAccount* account = nullptr;  ///< owned by `table`; may be null
+  std::uint32_t priority = 0;
+  std::vector<std::string> allowed_regions;  ///< empty: any
   bool from_peer = false;
+  /// The request was counted for the limit of its account.
+  bool counts_for_limit = false;
   /// Route of a bundle, as the requesting host described it.
   std::optional<Route> bundle_route;
   TimePoint arrival{};
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/json/object.hpp>
 
+#include "auburnyard/request_priority.h"
 #include "src/net/log.h"
 
 namespace auburnyard {
@@ -42,7 +43,12 @@
 // case the other host is lost.
 constexpr double kRequesterRepeatShare = 0.2;
 
+// Stands for an empty intersection of regions; no region has this name.
+constexpr std::string_view kNoRegion = "-";
+
 constexpr int kStatusBadRequest = 400;
+constexpr int kStatusUnauthorized = 401;
+constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadGateway = 502;
@@ -58,6 +64,42 @@
   return parts;
 }
 
+// Cancels the job unless it has ended.
+std::function<void()> MakeCancellation(const RelayJobPtr& job) {
+  if (!job->cancel) {
+    return nullptr;
+  }
+  return [job] {
+    if (job->cancel) {
+      std::exchange(job->cancel, nullptr)();
+    }
+  };
+}
+
+// Applies what the account changes of the route. `account` may be null.
+void SetAccount(RelayJob& job, const ClientAccount* account) {
+  if (job.table->accounts() != nullptr) {
+    job.priority = RequestPriority(*job.route, account);
+  }
+  if (account == nullptr) {
+    return;
+  }
+  job.account = account;
+  job.request.account = account->name;
+  if (job.allowed_regions.empty()) {
+    job.allowed_regions = account->allowed_regions;
+  } else if (!account->allowed_regions.empty()) {
+    std::erase_if(job.allowed_regions, [account](const std::string& region) {
+      return std::find(account->allowed_regions.begin(),
+                       account->allowed_regions.end(),
+                       region) == account->allowed_regions.end();
+    });
+    if (job.allowed_regions.empty()) {
+      job.allowed_regions.emplace_back(kNoRegion);
+    }
+  }
+}
+
 }  // namespace
 
 RelayService::RelayService(const RelayContext& relay_context,
@@ -145,6 +187,7 @@
   if (from_peer) {
     return this->HandleBundle(std::move(request), std::move(respond));
   }
+  request.account.clear();
   const Route* route = this->table->Find(request.host, request.path);
   if (route == nullptr && this->is_outdated()) {
     this->Refuse(request, kStatusUnavailable, "outdated_configuration",
@@ -156,8 +199,76 @@
                  respond);
     return nullptr;
   }
-  return this->StartCancellable(
-      this->MakeJob(std::move(request), std::move(respond), *route));
+  const ClientAccount* account = nullptr;
+  if (!this->Authenticate(request, *route, respond, account)) {
+    return nullptr;
+  }
+  const RelayJobPtr job =
+      this->MakeJob(std::move(request), std::move(respond), *route);
+  SetAccount(*job, account);
+  this->Admit(job);
+  return MakeCancellation(job);
+}
+
+bool RelayService::Authenticate(const CallerRequest& request,
+                                const Route& route,
+                                const Responder& respond,
+                                const ClientAccount*& account) {
+  const AccountTable* accounts = this->table->accounts().get();
+  if (accounts == nullptr || route.authentication_exempt) {
+    return true;
+  }
+  if (this->is_revocation_unknown()) {
+    this->Refuse(request, kStatusUnavailable, "outdated_accounts",
+                 "keys may have been revoked", respond);
+    return false;
+  }
+  account = accounts->FindByKey(request.api_key);
+  if (account != nullptr) {
+    return true;
+  }
+  if (this->is_outdated()) {
+    this->Refuse(request, kStatusUnavailable, "outdated_configuration",
+                 "the key is not known, and newer keys may exist", respond);
+  } else {
+    this->Refuse(request, kStatusUnauthorized, "unknown_key",
+                 "the request has no valid key", respond);
+  }
+  return false;
+}
+
+void RelayService::Admit(const RelayJobPtr& job) {
+  if (job->account == nullptr || !job->account->limits.limited() ||
+      !this->account_admission.admit) {
+    this->Start(job);
+    return;
+  }
+  const auto cancelled = std::make_shared<bool>(false);
+  job->cancel = [cancelled] { *cancelled = true; };
+  this->account_admission.admit(
+      *job->account, [this, job, cancelled](const AccountDecision& decision) {
+        if (!*cancelled) {
+          this->OnAccountDecision(job, decision);
+        } else if (decision.kind == AccountDecision::Kind::kAdmitted) {
+          this->account_admission.give_back(*job->account);
+        }
+      });
+}
+
+void RelayService::OnAccountDecision(const RelayJobPtr& job,
+                                     const AccountDecision& decision) {
+  if (decision.kind == AccountDecision::Kind::kAdmitted) {
+    job->counts_for_limit = true;
+    this->Start(job);
+    return;
+  }
+  job->cancel = nullptr;
+  const bool over = decision.kind == AccountDecision::Kind::kOverLimit;
+  this->Refuse(job->request, over ? kStatusTooManyRequests : kStatusUnavailable,
+               over ? "account_limit" : "account_usage_unknown",
+               over ? "the account has reached its limit"
+                    : "the usage of the account is not known",
+               decision.retry_after, job->respond);
 }
 
 // The route is not looked up here: during a change, the version in force here
@@ -170,20 +281,11 @@
                  "the request does not describe the parts it needs", respond);
     return nullptr;
   }
-  return this->StartCancellable(
-      this->MakeBundleJob(std::move(request), std::move(respond)));
-}
-
-std::function<void()> RelayService::StartCancellable(const RelayJobPtr& job) {
+  request.account = std::move(request.bundle->account);
+  const RelayJobPtr job =
+      this->MakeBundleJob(std::move(request), std::move(respond));
   this->Start(job);
-  if (!job->cancel) {
-    return nullptr;
-  }
-  return [job] {
-    if (job->cancel) {
-      std::exchange(job->cancel, nullptr)();
-    }
-  };
+  return MakeCancellation(job);
 }
 
 std::function<void()> RelayService::Hold(CallerRequest request,
@@ -237,6 +339,8 @@
   const milliseconds objective = route.latency_objective - kAnswerMargin;
   job->table = this->table;
   job->route = &route;
+  job->priority = route.priority;
+  job->allowed_regions = route.allowed_regions;
   job->arrival = now;
   job->deadline =
       now + std::max(caller_timeout - kDeadlineMargin, milliseconds(1));
@@ -293,7 +397,7 @@
 
 std::vector<PartBundle> RelayService::MakeBundles(const RelayJob& job) {
   std::vector<PartBundle> bundles;
-  if (job.from_peer || !job.route->allowed_regions.empty()) {
+  if (job.from_peer || !job.allowed_regions.empty()) {
     return bundles;
   }
   const Duration margin = FarMargin(this->NeedsOf(*job.route));
@@ -313,6 +417,7 @@
   const Route& route = *job.route;
   FanOutPlan plan;
   plan.route = &route;
+  plan.priority = job.priority;
   plan.work = this->WorkOf(route);
   plan.arrival = job.arrival;
   plan.answer_by = job.answer_by;
@@ -347,7 +452,7 @@
   RelayedRequest::Hooks hooks;
   hooks.choose_target = [this, job](std::string_view service,
                                     std::span<const TargetPtr> tried) {
-    return this->targets.Choose(service, job->route->allowed_regions, tried,
+    return this->targets.Choose(service, job->allowed_regions, tried,
                                 this->NeedsOf(*job->route));
   };
   hooks.pool_of = [this](const TargetPtr& target) {
@@ -395,6 +500,19 @@
                           std::string_view kind,
                           std::string_view title,
                           const Responder& respond) {
+  const milliseconds retry_after =
+      status == kStatusUnavailable
+          ? this->RetryAfter() * kUnconfiguredRetryFactor
+          : milliseconds(0);
+  this->Refuse(request, status, kind, title, retry_after, respond);
+}
+
+void RelayService::Refuse(const CallerRequest& request,
+                          int status,
+                          std::string_view kind,
+                          std::string_view title,
+                          milliseconds retry_after,
+                          const Responder& respond) {
   this->metrics.CountRefusal(kind);
   std::uint64_t omitted = 0;
   if (this->outcome_lines.Allow(this->context.clock.Now(), omitted)) {
@@ -405,10 +523,6 @@
               {"version", this->table == nullptr ? 0 : this->table->version()},
               {"omitted", omitted}});
   }
-  const milliseconds retry_after =
-      status == kStatusUnavailable
-          ? this->RetryAfter() * kUnconfiguredRetryFactor
-          : milliseconds(0);
   respond(MakeRefusal(status, title, kind, RunState::kNotRun, retry_after));
 }
 
@@ -459,6 +573,10 @@
                           RelayedRequest& request,
                           FanOutResult result) {
   this->running.erase(request.shared_from_this());
+  if (job->counts_for_limit && result.kind == FanOutResult::Kind::kRefusal &&
+      result.run == RunState::kNotRun) {
+    this->account_admission.give_back(*job->account);
+  }
   const Duration latency = this->context.clock.Now() - job->arrival;
   this->metrics.ObserveRequest(job->route->fans_out(), latency);
   if (result.kind == FanOutResult::Kind::kRefusal) {
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -13,6 +13,7 @@
 #include "auburnyard/burst_division.h"
 #include "auburnyard/placement.h"
 #include "auburnyard/repeat_budget.h"
+#include "src/relay/account_admission.h"
 #include "src/relay/caller_answer.h"
 #include "src/relay/log_limiter.h"
 #include "src/relay/peer_table.h"
@@ -57,6 +58,15 @@
   void SetOutdatedCheck(std::function<bool()> check) {
     this->is_outdated = std::move(check);
   }
+  /// Sets a function that returns whether keys may have been revoked that this
+  /// host still accepts, so that it must not accept any.
+  void SetRevocationCheck(std::function<bool()> check) {
+    this->is_revocation_unknown = std::move(check);
+  }
+  /// Sets how limits of accounts are enforced. Without it they are not.
+  void SetAccountAdmission(AccountAdmission admission) {
+    this->account_admission = std::move(admission);
+  }
   /// Calls `respond` exactly once. Returns a function that cancels the request
   /// when the caller disconnects. `from_peer`: the request is from another
   /// entry host, which chose this one for its location.
@@ -76,12 +86,20 @@
 
   /// Handles a request of another entry host.
   std::function<void()> HandleBundle(CallerRequest request, Responder respond);
+  /// Finds the account of a request by its key. Refuses the request and returns
+  /// false if it needs a key and has no valid one.
+  bool Authenticate(const CallerRequest& request,
+                    const Route& route,
+                    const Responder& respond,
+                    const ClientAccount*& account);
+  /// Starts the job once its account has room, and refuses it otherwise.
+  void Admit(const RelayJobPtr& job);
+  void OnAccountDecision(const RelayJobPtr& job,
+                         const AccountDecision& decision);
   RelayJobPtr MakeJob(CallerRequest request,
                       Responder respond,
                       const Route& route) const;
   RelayJobPtr MakeBundleJob(CallerRequest request, Responder respond) const;
-  /// Starts the job and returns a function that cancels it.
-  std::function<void()> StartCancellable(const RelayJobPtr& job);
   void Start(const RelayJobPtr& job);
   std::function<void()> Hold(CallerRequest request,
                              Responder respond,
@@ -104,6 +122,13 @@
               std::string_view kind,
               std::string_view title,
               const Responder& respond);
+  /// The same with a stated time after which the caller may repeat it.
+  void Refuse(const CallerRequest& request,
+              int status,
+              std::string_view kind,
+              std::string_view title,
+              std::chrono::milliseconds retry_after,
+              const Responder& respond);
   CallerAnswer MakeAnswer(const FanOutResult& result);
   CallerAnswer MakeFailure(const FanOutResult& result);
   void LogOutcome(const RelayJob& job,
@@ -138,6 +163,8 @@
   std::mt19937_64 random;
   LogLimiter outcome_lines;
   std::function<bool()> is_outdated = [] { return false; };
+  std::function<bool()> is_revocation_unknown = [] { return false; };
+  AccountAdmission account_admission;
 };
 
 }  // namespace auburnyard
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -21,6 +21,21 @@
   return std::chrono::seconds(reader.Integer(name, 1, kMaxSeconds));
 }
 
+AccountSettings ParseAccounts(const detail::JsonReader& reader) {
+  reader.AllowOnly(
+      {"window_s", "excess", "margin", "revoke_on_partition", "revoke_ms"});
+  AccountSettings accounts;
+  if (reader.Has("window_s")) {
+    accounts.limit_window = Seconds(reader, "window_s");
+  }
+  accounts.limit_excess = reader.Number("excess", 0, kMaxRatio, 0);
+  accounts.limit_margin = reader.Number("margin", 0, kMaxBurst, 0);
+  accounts.revoke_on_partition = reader.Boolean("revoke_on_partition", false);
+  accounts.revocation_limit = std::chrono::milliseconds(
+      reader.Integer("revoke_ms", 0, kMaxSeconds * 1'000, 0));
+  return accounts;
+}
+
 }  // namespace
 
 RelaySettings ParseRelaySettings(std::string_view text) {
@@ -29,7 +44,7 @@
   const detail::JsonReader reader(document, "", ErrorKind::kBadSettings);
   reader.AllowOnly({"host", "failure_domain", "region", "domain_regions",
                     "listen", "store", "shutdown_time_s", "repeats",
-                    "cold_targets", "cores", "log_level"});
+                    "cold_targets", "accounts", "cores", "log_level"});
   RelaySettings settings;
   settings.host_name = reader.String("host");
   settings.failure_domain = reader.String("failure_domain");
@@ -44,13 +59,17 @@
   }
   settings.cores = reader.Number("cores", 0, kMaxCores, 1);
   const detail::JsonReader listen = reader.Child("listen");
-  listen.AllowOnly({"callers", "readiness", "peers", "mirror", "metrics_port"});
+  listen.AllowOnly(
+      {"callers", "readiness", "peers", "mirror", "accounts", "metrics_port"});
   settings.callers_address = ReadAddress(listen, "callers");
   settings.readiness_address = ReadAddress(listen, "readiness");
   settings.peers_address = ReadAddress(listen, "peers");
   if (listen.Has("mirror")) {
     settings.mirror_address = ReadAddress(listen, "mirror");
   }
+  if (listen.Has("accounts")) {
+    settings.accounts_address = ReadAddress(listen, "accounts");
+  }
   settings.metrics_port = static_cast<std::uint32_t>(
       listen.Integer("metrics_port", 0, kMaxPort, 0));
   const detail::JsonReader store = reader.Child("store");
@@ -71,6 +90,9 @@
   cold.AllowOnly({"rate_factor", "rate_margin"});
   settings.cold_rate_factor = cold.Number("rate_factor", 0, kMaxRatio, 1);
   settings.cold_rate_margin = cold.Number("rate_margin", 0, kMaxBurst, 0);
+  if (reader.Has("accounts")) {
+    settings.accounts = ParseAccounts(reader.Child("accounts"));
+  }
   settings.log_level = reader.String("log_level", "info");
   return settings;
 }
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -9,6 +9,17 @@
 
 namespace auburnyard {
 
+/// Handling of client accounts, where the configuration has some.
+struct AccountSettings {
+  /// Window in which limits hold; zero: limits are not enforced.
+  std::chrono::seconds limit_window{0};
+  double limit_excess = 0;  ///< share by which a limit may be exceeded
+  double limit_margin = 0;  ///< requests per window beyond that
+  /// A host whose store data is older than `revocation_limit` accepts no keys.
+  bool revoke_on_partition = false;
+  std::chrono::milliseconds revocation_limit{0};
+};
+
 /// Settings of an entry host that relays requests. JSON with comments.
 struct RelaySettings {
   std::string host_name;
@@ -35,6 +46,9 @@
   double cold_rate_factor =
       1;  ///< factor on the configured rate of a cold target
   double cold_rate_margin = 0;  ///< requests per second added to it
+  AccountSettings accounts;
+  /// IP:port at which other hosts ask for room of accounts; may be empty.
+  std::string accounts_address;
   std::string log_level = "info";
 };
 
--- a/src/relay/relayed_request.cc
+++ b/src/relay/relayed_request.cc
@@ -17,12 +17,16 @@
       attempts(plan.services.size()),
       timer(relay_context.io) {
   this->shared->head = std::move(caller.forwarded_head);
+  if (!caller.account.empty()) {
+    this->shared->head += this->context.codec.encode_account(caller.account);
+  }
+  this->account = std::move(caller.account);
   this->shared->body = std::move(caller.body);
   this->shared->request_id = std::move(caller.request_id);
   this->shared->head_method = caller.head_method;
   this->shared->idempotent = plan.route->idempotent;
   this->shared->forwards_reply = !plan.route->fans_out();
-  this->shared->priority = plan.route->priority;
+  this->shared->priority = plan.priority;
   this->shared->arrival = plan.arrival;
   this->shared->deadline = plan.deadline;
   this->shared->work = plan.work;
@@ -84,8 +88,9 @@
       .max_missing_parts = this->state_machine->AllowedMissing(),
       .top_records = plan.route->top_records,
       .max_attempts = plan.route->max_attempts,
-      .priority = plan.route->priority,
-      .latency_objective = plan.route->latency_objective};
+      .priority = plan.priority,
+      .latency_objective = plan.route->latency_objective,
+      .account = this->account};
   for (const std::uint32_t part : plan.bundles[index].parts) {
     bundle.shards.emplace_back(plan.services[part]);
   }
--- a/src/relay/relayed_request.h
+++ b/src/relay/relayed_request.h
@@ -63,6 +63,7 @@
   const RelayContext& context;
   std::shared_ptr<const RouteTable> table;
   std::shared_ptr<TargetExchange::SharedRequest> shared;
+  std::string account;  // of the caller; may be empty
   Hooks hooks;
   std::unique_ptr<FanOut> state_machine;
   std::vector<std::vector<Attempt>> attempts;  // by part
