--- a/test/client_account_test.cc
+++ b/test/client_account_test.cc
@@ -72,15 +72,15 @@
   }
   std::vector<std::string> Arrived() const {
     const std::lock_guard lock(this->mutex);
-    return this->heads;
+    return this->received;
   }
 
  private:
   mutable std::mutex mutex;
-  std::vector<std::string> heads;
+  std::vector<std::string> received;
   test::ScriptedServer target{[this](const std::string& head) {
     const std::lock_guard lock(this->mutex);
-    this->heads.push_back(head);
+    this->received.push_back(head);
     return test::TargetReply(head, "x");
   }};
 };
