Divide repeats equally at services that all hosts use

Cause: of a burst of 176, a host that does not connect to targets for others had less than one repeat per window.

--- a/include/auburnyard/burst_division.h
+++ b/include/auburnyard/burst_division.h
@@ -7,6 +7,12 @@
 
 namespace auburnyard {
 
+/// Which hosts send requests to the targets of a service.
+enum class ServiceUse {
+  kFanOut,  ///< mostly hosts that fetch parts for others
+  kSingle,  ///< each host for its own callers
+};
+
 /// Divides the repeats that a service can handle beyond the ratio among all
 /// hosts, so that their sum stays within the limit for any number of hosts.
 struct BurstDivision {
@@ -19,7 +25,9 @@
   /// Number of repeats of this host, an integer. The fractional remainder is
   /// assigned by a hash of service and host, so that different services favour
   /// different hosts.
-  double ShareOf(double burst, std::string_view service) const;
+  double ShareOf(double burst,
+                 std::string_view service,
+                 ServiceUse use = ServiceUse::kFanOut) const;
 
   bool operator==(const BurstDivision&) const = default;
 };
--- a/include/auburnyard/route_table.h
+++ b/include/auburnyard/route_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,9 @@
   }
   /// Limits of a service, or null.
   const ServiceLimits* Service(std::string_view name) const;
+  /// Whether routes forward whole requests to the service and none fans out to
+  /// it.
+  bool IsSingle(std::string_view service) const;
   /// Returns the route of the host with the longest matching path prefix, or
   /// null. A port in `host` is ignored; host names are case-insensitive.
   const Route* Find(std::string_view host, std::string_view path) const;
@@ -57,6 +61,7 @@
   std::uint64_t table_version;
   std::map<std::string, std::vector<Route>, std::less<>> routes;
   std::map<std::string, ServiceLimits, std::less<>> services;
+  std::set<std::string, std::less<>> single_services;
   CallerLimits caller_limits;
   std::shared_ptr<const AccountTable> account_table;
 };
--- a/src/core/burst_division.cc
+++ b/src/core/burst_division.cc
@@ -23,15 +23,20 @@
 
 }  // namespace
 
-double BurstDivision::ShareOf(double burst, std::string_view service) const {
-  const std::size_t hosts =
+double BurstDivision::ShareOf(double burst,
+                              std::string_view service,
+                              ServiceUse use) const {
+  std::size_t hosts =
       this->connects ? this->connecting_hosts : this->max_other_hosts;
   if (hosts == 0) {
     return 0;
   }
-  const double share =
-      burst * (this->connects ? kConnectingHostsShare : kOtherHostsShare) /
-      static_cast<double>(hosts);
+  double divided = this->connects ? kConnectingHostsShare : kOtherHostsShare;
+  if (use == ServiceUse::kSingle && this->max_other_hosts > 0) {
+    hosts = this->connecting_hosts + this->max_other_hosts;
+    divided = kConnectingHostsShare + kOtherHostsShare;
+  }
+  const double share = burst * divided / static_cast<double>(hosts);
   const double integer_share = std::floor(share);
   return integer_share +
          (UnitHash(service, this->host_name) < share - integer_share ? 1.0
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -33,6 +33,20 @@
     route.host = NormalizeHost(route.host);
     this->routes[route.host].push_back(std::move(route));
   }
+  for (const auto& [host, list] : this->routes) {
+    for (const Route& route : list) {
+      for (const WeightedService& choice : route.services) {
+        this->single_services.insert(choice.service);
+      }
+    }
+  }
+  for (const auto& [host, list] : this->routes) {
+    for (const Route& route : list) {
+      for (const std::string& shard : route.shards) {
+        this->single_services.erase(shard);
+      }
+    }
+  }
   // Longest prefix first, so that `Find` returns the first match.
   for (auto& [host, list] : this->routes) {
     std::stable_sort(list.begin(), list.end(),
@@ -47,6 +61,10 @@
   return found == this->services.end() ? nullptr : &found->second;
 }
 
+bool RouteTable::IsSingle(std::string_view service) const {
+  return this->single_services.contains(service);
+}
+
 const Route* RouteTable::Find(std::string_view host,
                               std::string_view path) const {
   const auto found = this->routes.find(NormalizeHost(host));
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -126,6 +126,7 @@
   }
   this->table = std::move(newer);
   this->targets.SetRoutes(this->table);
+  this->SetBudgetLimits(this->budget_limits);
   if (!this->held.empty()) {
     // The targets of the same read are applied first.
     boost::asio::post(this->context.io, [this] { this->ReleaseHeld(); });
@@ -163,7 +164,9 @@
 
 RepeatBudgetLimits RelayService::LimitsOf(std::string_view service) const {
   RepeatBudgetLimits own = this->budget_limits;
-  own.burst = this->division.ShareOf(own.burst, service);
+  const bool single = this->table != nullptr && this->table->IsSingle(service);
+  own.burst = this->division.ShareOf(
+      own.burst, service, single ? ServiceUse::kSingle : ServiceUse::kFanOut);
   return own;
 }
 
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -132,6 +132,12 @@
   this->UpdateAdmission(*pool);
   this->pools[entry.id] = pool;
   this->by_service[entry.service].push_back(state);
+  if (!this->resetting) {
+    LogAdded(entry);
+  }
+}
+
+void TargetTable::LogAdded(const TargetEntry& entry) {
   LogEvent(spdlog::level::info, "target_added",
            {{"target", entry.id},
             {"service", entry.service},
@@ -167,12 +173,19 @@
   this->Discard(std::string(id));
 }
 
+// Logs one line for all targets: a host that starts would otherwise write
+// hundreds of lines before it serves its first request.
 void TargetTable::Reset(const std::vector<TargetEntry>& entries) {
   std::set<std::string_view> present;
+  const std::size_t known = this->pools.size();
+  this->resetting = true;
   for (const TargetEntry& entry : entries) {
     present.insert(entry.id);
     this->Upsert(entry);
   }
+  this->resetting = false;
+  LogEvent(spdlog::level::info, "targets_read",
+           {{"targets", entries.size()}, {"known_before", known}});
   std::vector<std::string> gone;
   for (const auto& [id, pool] : this->pools) {
     if (!present.contains(id)) {
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -101,6 +101,7 @@
   void UpdateAdmission(TargetPool& pool) const;
   void UpdateAdmissions() const;
   void Add(const TargetEntry& entry);
+  static void LogAdded(const TargetEntry& entry);
   void Discard(std::string_view id);
   void UpdateConnectionShare();
   void ApplyLimits(TargetPool& pool) const;
@@ -125,6 +126,7 @@
   std::set<std::string, std::less<>> evacuated;
   TimePoint defer_removals_until{};
   TimePoint next_preconnect{};
+  bool resetting = false;  // all registrations are being replaced
   // Share of a target's limit that this host may use.
   double connection_share = 0;
 };
--- a/test/registration_choice_test.cc
+++ b/test/registration_choice_test.cc
@@ -9,6 +9,7 @@
 
 #include "auburnyard/burst_division.h"
 #include "auburnyard/host_table.h"
+#include "auburnyard/route_table.h"
 
 namespace auburnyard {
 
@@ -155,7 +156,12 @@
 // number of hosts, and against a division that allows almost no repeats.
 BOOST_AUTO_TEST_CASE(HostsTogetherKeepToTheBurst) {
   constexpr double kBurst = 630;
-  for (const std::size_t hosts : {9U, 78U, 295U, 1'200U}) {
+  using Case = std::pair<std::size_t, ServiceUse>;
+  for (const auto& [hosts, use] :
+       {Case(9, ServiceUse::kFanOut), Case(78, ServiceUse::kFanOut),
+        Case(295, ServiceUse::kFanOut), Case(1'200, ServiceUse::kFanOut),
+        Case(9, ServiceUse::kSingle), Case(78, ServiceUse::kSingle),
+        Case(295, ServiceUse::kSingle), Case(1'200, ServiceUse::kSingle)}) {
     double sum = 0;
     for (std::size_t i = 0; i < hosts; ++i) {
       const bool connects = i < 12;
@@ -164,7 +170,7 @@
           .connects = connects,
           .connecting_hosts = std::min<std::size_t>(hosts, 12),
           .max_other_hosts = hosts};
-      sum += division.ShareOf(kBurst, "s");
+      sum += division.ShareOf(kBurst, "s", use);
     }
     BOOST_TEST(sum <= kBurst);
     BOOST_TEST(sum >= kBurst * 0.4);
@@ -176,6 +182,29 @@
                   kBurst, "s") == 0));
 }
 
+// Guards against hosts that cannot repeat a request whose target crashed,
+// although the service has repeats left: each host of 68 sends requests of its
+// own callers to the service.
+BOOST_AUTO_TEST_CASE(EachHostMayRepeatAtAServiceThatAllHostsUse) {
+  for (std::size_t i = 0; i < 68; ++i) {
+    const BurstDivision division = {.host_name = "h" + std::to_string(i),
+                                    .connects = i < 12,
+                                    .connecting_hosts = 12,
+                                    .max_other_hosts = 99};
+    BOOST_TEST(division.ShareOf(176, "s", ServiceUse::kSingle) >= 1);
+  }
+  const auto routes = [](std::vector<std::string> shards) {
+    Route single;
+    single.services = {{.service = "s"}};
+    Route all;
+    all.shards = std::move(shards);
+    return RouteTable(1, {single, all}, {}, CallerLimits());
+  };
+  BOOST_TEST(routes({"a"}).IsSingle("s"));
+  BOOST_TEST(!routes({"a"}).IsSingle("a"));
+  BOOST_TEST(!routes({"a", "s"}).IsSingle("s"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
