Share the limits of accounts between all hosts

Cause: limits of accounts were configured and not enforced. Change: quota servers of each failure domain (QuotaServer) hold a replicated token bucket per account (AccountLimiter) and exchange running totals; the other hosts ask them (QuotaClient) before they start a request. Their addresses are part of the host registrations. Requests that the peers have not confirmed are bounded, so that the limit also holds before a broken link is detected.

--- a/include/auburnyard/host_entry.h
+++ b/include/auburnyard/host_entry.h
@@ -12,6 +12,8 @@
   std::string failure_domain;
   double cores = 1;            ///< processor cores that it may use
   std::string mirror_address;  ///< IP:port of its store mirror; may be empty
+  /// IP:port at which it decides on requests of accounts; may be empty.
+  std::string accounts_address;
 
   bool operator==(const HostEntry&) const = default;
 };
--- a/include/auburnyard/host_table.h
+++ b/include/auburnyard/host_table.h
@@ -36,6 +36,9 @@
   /// Hosts of a failure domain that fetch parts for other hosts: those with the
   /// most processor cores, the same for every host with the same view.
   const std::vector<HostEntry>& Fetchers(std::string_view domain) const;
+  /// Hosts of a failure domain that decide on requests of accounts: those that
+  /// fetch parts for others, or all hosts of a small domain.
+  std::vector<HostEntry> QuotaServers(std::string_view domain) const;
   /// Whether the domain has so many hosts that a few of them fetch parts for
   /// the remaining ones.
   bool IsLargeDomain(std::string_view domain) const;
--- a/src/core/host_table.cc
+++ b/src/core/host_table.cc
@@ -108,6 +108,16 @@
   return this->SummaryOf(domain).fetchers;
 }
 
+std::vector<HostEntry> HostTable::QuotaServers(std::string_view domain) const {
+  std::vector<HostEntry> servers = this->IsLargeDomain(domain)
+                                       ? this->Fetchers(domain)
+                                       : this->HostsInDomain(domain);
+  std::erase_if(servers, [](const HostEntry& host) {
+    return host.accounts_address.empty();
+  });
+  return servers;
+}
+
 bool HostTable::IsLargeDomain(std::string_view domain) const {
   return this->SummaryOf(domain).size >= kMinLargeDomainHosts;
 }
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -39,6 +39,12 @@
           .window = settings.repeat_window};
 }
 
+LimitTolerance Tolerance(const AccountSettings& accounts) {
+  return {.window = accounts.limit_window,
+          .excess = accounts.limit_excess,
+          .margin = accounts.limit_margin};
+}
+
 }  // namespace
 
 RelayHost::RelayHost(RelaySettings host_settings,
@@ -125,6 +131,41 @@
   }
 }
 
+void RelayHost::EnforceAccountLimits() {
+  if (this->settings.accounts.limit_window <= std::chrono::seconds(0) ||
+      this->settings.accounts_address.empty()) {
+    return;
+  }
+  const LimitTolerance tolerance = Tolerance(this->settings.accounts);
+  this->quota_server = std::make_shared<QuotaServer>(
+      this->context, this->hosts, this->metrics,
+      QuotaPeer{this->settings.host_name, this->settings.failure_domain},
+      tolerance, this->settings.domain_regions.size());
+  this->quota_server->Listen(this->settings.accounts_address);
+  QuotaClient::Hooks hooks;
+  hooks.servers = [this] {
+    return this->hosts.QuotaServers(this->settings.failure_domain);
+  };
+  hooks.version = [this] {
+    const auto& routes = this->service.routes();
+    return routes == nullptr ? 0 : routes->version();
+  };
+  hooks.host_count = [this] { return this->MaxOtherHosts(); };
+  this->quota_client = std::make_shared<QuotaClient>(
+      this->context, this->metrics, this->settings.host_name, tolerance,
+      this->quota_server, std::move(hooks));
+  this->service.SetAccountAdmission(
+      {.admit =
+           [this](const ClientAccount& account,
+                  AccountAdmission::Callback decide) {
+             this->quota_client->Admit(account, std::move(decide));
+           },
+       .give_back =
+           [this](const ClientAccount& account) {
+             this->quota_client->GiveBack(account);
+           }});
+}
+
 void RelayHost::Run() {
   this->service.SetOutdatedCheck([this] { return this->follower.outdated(); });
   this->service.SetRevocationCheck([this] {
@@ -142,6 +183,7 @@
   if (!this->settings.mirror_address.empty()) {
     this->follower.ListenForMirror(this->settings.mirror_address);
   }
+  this->EnforceAccountLimits();
   this->service.HoldUntilConfigured(this->clock.Now() + kFirstReadTime);
   this->callers.Listen(Endpoint(this->settings.callers_address));
   this->peer_server.Listen(Endpoint(this->settings.peers_address));
@@ -158,7 +200,14 @@
           .address = this->settings.peers_address,
           .failure_domain = this->settings.failure_domain,
           .cores = this->settings.cores,
-          .mirror_address = this->settings.mirror_address};
+          .mirror_address = this->settings.mirror_address,
+          .accounts_address = this->settings.accounts_address};
+}
+
+std::size_t RelayHost::MaxOtherHosts() const {
+  const auto domain_size =
+      static_cast<double>(this->follower.domain_size()) * kMaxDomainSizeFactor;
+  return static_cast<std::size_t>(domain_size) * this->hosts.Domains().size();
 }
 
 void RelayHost::UpdateBurstDivision() {
@@ -167,16 +216,13 @@
     return;
   }
   this->next_burst_division = now + kBurstDivisionInterval;
-  const auto domain_size =
-      static_cast<double>(this->follower.domain_size()) * kMaxDomainSizeFactor;
   this->service.SetBurstDivision(
       {.host_name = this->settings.host_name,
        .connects = !this->peers.delegates(),
        .connecting_hosts = this->follower.has_store_data()
                                ? this->hosts.SharingHostCount(now)
                                : 0,
-       .max_other_hosts = static_cast<std::size_t>(domain_size) *
-                          this->hosts.Domains().size()});
+       .max_other_hosts = this->MaxOtherHosts()});
 }
 
 void RelayHost::UpdateRegistration() {
@@ -225,6 +271,11 @@
     RelaySettings changed = LoadRelaySettings(this->settings_path);
     this->service.SetBudgetLimits(BudgetLimits(changed));
     this->follower.SetChangeLimit(changed.change_limit);
+    if (this->quota_server != nullptr &&
+        changed.accounts.limit_window > std::chrono::seconds(0)) {
+      this->quota_server->SetTolerance(Tolerance(changed.accounts));
+      this->quota_client->SetTolerance(Tolerance(changed.accounts));
+    }
     this->settings = std::move(changed);
     LogEvent(spdlog::level::info, "settings_reloaded",
              {{"path", this->settings_path}});
@@ -256,6 +307,10 @@
   this->follower.Sweep();
   this->UpdateRegistration();
   this->UpdateBurstDivision();
+  if (this->quota_server != nullptr) {
+    this->quota_server->Sweep();
+    this->quota_client->Sweep();
+  }
   this->peers.Sweep();
   this->callers.Sweep();
   this->peer_server.Sweep();
--- a/src/relay/relay_host.h
+++ b/src/relay/relay_host.h
@@ -12,6 +12,8 @@
 #include "auburnyard/shutdown_schedule.h"
 #include "src/net/http_server.h"
 #include "src/relay/caller_server.h"
+#include "src/relay/quota_client.h"
+#include "src/relay/quota_server.h"
 #include "src/relay/relay_settings.h"
 #include "src/relay/store_follower.h"
 #include "src/relay/store_registration.h"
@@ -39,6 +41,10 @@
   CallerServer::Hooks ServerHooks(bool for_peers);
   void ListenForHealth();
   HostEntry OwnEntry() const;
+  /// Upper bound of the number of hosts that do not connect to targets.
+  std::size_t MaxOtherHosts() const;
+  /// Enforces limits of accounts if the settings specify it.
+  void EnforceAccountLimits();
   /// Updates the number of hosts that share the burst of repeats.
   void UpdateBurstDivision();
   /// Registers this host in the store once other hosts need its address.
@@ -69,6 +75,8 @@
   CallerServer peer_server;
   RegistrationChoice registration_choice;
   std::shared_ptr<StoreRegistration> registration;
+  std::shared_ptr<QuotaServer> quota_server;  // null: limits are not enforced
+  std::shared_ptr<QuotaClient> quota_client;
   std::shared_ptr<HttpServer> readiness;
   std::shared_ptr<HttpServer> metrics_server;
   boost::asio::signal_set signals;
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -99,6 +99,23 @@
   this->configuration_delay.Observe(age);
 }
 
+void RelayMetrics::CountAccountDecision(std::string_view decision,
+                                        std::string_view reason) {
+  this->all
+      .Counter("auburnyard_relay_account_decisions_total",
+               "Decisions on requests of accounts with a limit.",
+               {{"decision", std::string(decision)},
+                {"reason", std::string(reason)}})
+      .Add();
+}
+
+void RelayMetrics::SetSilentDomains(std::size_t count) {
+  this->all
+      .Gauge("auburnyard_relay_account_silent_domains",
+             "Failure domains whose quota servers are not heard.", {})
+      .Set(static_cast<double>(count));
+}
+
 void RelayMetrics::CountStoreCall(std::string_view kind,
                                   StoreCallOutcome outcome) {
   this->all
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -21,6 +21,10 @@
   void ObserveRequest(bool fans_out, Duration latency);
   /// Counts missing parts by cause.
   void CountLosses(const LossCounts& losses);
+  /// Counts a decision on a request of an account with a limit.
+  void CountAccountDecision(std::string_view decision, std::string_view reason);
+  /// Sets the number of failure domains whose quota servers are not heard.
+  void SetSilentDomains(std::size_t count);
   void CountStoreCall(std::string_view kind, StoreCallOutcome outcome);
   /// Records the upper bound of the delay of a configuration that came into
   /// force: the age of the data that it replaced.
