Weigh the speed that targets report in their expected time

Cause: targets of unequal speed, and targets that are 2.5 times slower for 200 to 400 ms, received as many requests as the others, because the fourth figure of their load reports was ignored.

Change: LoadReport has the figure (bounded, optional). TargetSpeed learns a target's steady factor slowly and follows the last figure, which loses its weight within 450 ms. The expected time uses both; the time of work per kind and the slowdown per target are learned without the reported factor. Costs of targets that report no figure are the same as before to the nanosecond.

--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -8,6 +8,7 @@
 #include "auburnyard/latency_estimate.h"
 #include "auburnyard/load_report.h"
 #include "auburnyard/target_entry.h"
+#include "auburnyard/target_speed.h"
 #include "auburnyard/work_estimate.h"
 
 namespace auburnyard {
@@ -32,6 +33,7 @@
   /// Network round-trip time; at most the minimum latency observed.
   Duration RoundTrip() const;
   std::size_t in_flight() const { return this->sent_requests.size(); }
+  const TargetSpeed& speed() const { return this->reported_speed; }
 
   /// A connection was established, which takes at least one round trip.
   void OnConnected(Duration took);
@@ -84,6 +86,8 @@
   };
 
   double Slowdown(TimePoint now) const;
+  /// Present speed as a factor on the learned one.
+  double SpeedChange(TimePoint now) const;
   void AddSlowdown(Duration latency, TimePoint now, const WorkEstimate& work);
   /// Time by which the oldest reply is overdue.
   Duration Overdue(TimePoint now) const;
@@ -98,7 +102,9 @@
   LatencyEstimate latency_estimate;
   Duration min_connect_time = Duration::max();
   std::vector<SentRequest> sent_requests;  // in flight
-  // Time at the target as a multiple of what is usual for the kind of request.
+  TargetSpeed reported_speed;
+  // Time at the target as a multiple of what is usual for the kind of request
+  // and the reported speed.
   double slowdown = 1;
   TimePoint slowdown_updated{};
   std::size_t waiting = 0;
--- a/src/core/target_state.cc
+++ b/src/core/target_state.cc
@@ -83,12 +83,17 @@
   return outdated ? std::min(this->slowdown, 1.0) : this->slowdown;
 }
 
+double TargetState::SpeedChange(TimePoint now) const {
+  return this->reported_speed.At(now) / this->reported_speed.Base();
+}
+
 void TargetState::AddSlowdown(Duration latency,
                               TimePoint now,
                               const WorkEstimate& work) {
   const double observed =
       std::clamp(std::chrono::duration<double>(latency - this->RoundTrip()) /
-                     std::chrono::duration<double>(work.Mean()),
+                     std::chrono::duration<double>(work.Mean()) /
+                     this->reported_speed.At(now),
                  0.0, kMaxSlowdown);
   if (now - this->slowdown_updated > kSlowdownValidity) {
     this->slowdown = std::min(this->slowdown, 1.0);
@@ -99,9 +104,13 @@
 
 Duration TargetState::Expected(TimePoint now, const WorkEstimate* work) const {
   if (work == nullptr || !work->known()) {
-    return this->latency_estimate.Mean(now);
+    return this->RoundTrip() +
+           Scaled(this->latency_estimate.Mean(now) - this->RoundTrip(),
+                  this->SpeedChange(now));
   }
-  return this->RoundTrip() + Scaled(work->Mean(), this->Slowdown(now));
+  return this->RoundTrip() +
+         Scaled(work->Mean(),
+                this->Slowdown(now) * this->reported_speed.At(now));
 }
 
 Duration TargetState::Upper(TimePoint now, const WorkEstimate* work) const {
@@ -110,7 +119,8 @@
   }
   return this->RoundTrip() +
          Scaled(work->Upper(),
-                std::clamp(this->Slowdown(now), 1.0, kMaxUsualSlowdown));
+                std::clamp(this->Slowdown(now) * this->reported_speed.At(now),
+                           1.0, kMaxUsualSlowdown));
 }
 
 void TargetState::OnSent(TimePoint now, const WorkEstimate* work) {
@@ -124,7 +134,8 @@
   this->Remove(sent_at);
   this->latency_estimate.Add(now - sent_at, now);
   if (work != nullptr) {
-    work->Add(now - sent_at - this->RoundTrip());
+    work->Add(Scaled(now - sent_at - this->RoundTrip(),
+                     1 / this->reported_speed.At(now)));
     this->AddSlowdown(now - sent_at, now, *work);
   }
   this->consecutive_failures = 0;
@@ -170,6 +181,9 @@
 
 void TargetState::OnLoad(const LoadReport& report, TimePoint now) {
   this->load = report;
+  if (report.speed_percent) {
+    this->reported_speed.Add(*report.speed_percent, now);
+  }
   this->load_reported_at = now;
 }
 
@@ -229,7 +243,8 @@
 Duration TargetState::Delay(TimePoint now, const WorkEstimate* work) const {
   Duration delay = this->Expected(now, work);
   const Duration execution = std::max<Duration>(
-      this->latency_estimate.Mean(now) - this->latency_estimate.Floor(),
+      Scaled(this->latency_estimate.Mean(now) - this->latency_estimate.Floor(),
+             this->SpeedChange(now)),
       kMinExecution);
   std::size_t requests_ahead = this->sent_requests.size();
   std::uint32_t slots = std::max(1U, this->registration.slots);
--- a/test/load_simulation.cc
+++ b/test/load_simulation.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <numbers>
 #include <utility>
 
 #include "auburnyard/hedging.h"
@@ -22,6 +24,9 @@
 constexpr milliseconds kAnswerMargin{10};
 constexpr milliseconds kDeadline{800};
 constexpr double kHedgeReserve = 0.25;
+constexpr milliseconds kCountInterval{500};
+// The speed of a target may change between two of these steps.
+constexpr milliseconds kWorkStep{5};
 
 }  // namespace
 
@@ -51,6 +56,7 @@
   std::size_t running = 0;
   std::deque<ExchangePtr> queue;
   Duration pause_phase{};
+  std::vector<std::size_t> received;  // by interval
 };
 
 struct LoadSimulation::Host {
@@ -145,9 +151,19 @@
   }
 }
 
+const std::vector<std::size_t>& LoadSimulation::received(
+    std::size_t target) const {
+  return this->targets.at(target)->received;
+}
+
 void LoadSimulation::ScheduleArrival(std::size_t kind) {
+  const double phase =
+      2 * std::numbers::pi *
+      (std::chrono::duration<double>(this->now - kStart) /
+       std::chrono::duration<double>(this->options.wave_period));
   std::exponential_distribution<double> gap(
-      this->options.kinds[kind].per_second);
+      this->options.kinds[kind].per_second *
+      (1 + this->options.wave_swing * std::sin(phase)));
   const TimePoint time =
       this->now + std::chrono::duration_cast<Duration>(
                       std::chrono::duration<double>(gap(this->random)));
@@ -280,6 +296,10 @@
     return;
   }
   Target& target = *exchange->pool->target;
+  const auto interval =
+      static_cast<std::size_t>((this->now - kStart) / kCountInterval);
+  target.received.resize(std::max(target.received.size(), interval + 1));
+  ++target.received[interval];
   if (target.queue.size() >= this->options.queue) {
     this->Schedule(this->now + exchange->pool->delay, [this, exchange] {
       if (exchange->closed) {
@@ -317,6 +337,12 @@
   }
 }
 
+double LoadSimulation::SpeedOf(const Target& target, TimePoint at) const {
+  return this->options.speed
+             ? this->options.speed(target.index, at - kStart, target.running)
+             : 1;
+}
+
 TimePoint LoadSimulation::EndOfWork(const Target& target, Duration work) const {
   double factor = 1;
   for (const SlowPeriod& slow : this->options.slow) {
@@ -325,8 +351,14 @@
       factor = slow.factor;
     }
   }
-  TimePoint done =
-      this->now + std::chrono::duration_cast<Duration>(factor * work);
+  Duration left = std::chrono::duration_cast<Duration>(factor * work);
+  TimePoint done = this->now;
+  while (left > Duration::zero()) {
+    const Duration step = std::min<Duration>(left, kWorkStep);
+    done += std::chrono::duration_cast<Duration>(this->SpeedOf(target, done) *
+                                                 step);
+    left -= step;
+  }
   if (this->options.pause > Duration::zero()) {
     const Duration interval = this->options.pause_interval;
     TimePoint pause = kStart + target.pause_phase +
@@ -347,10 +379,13 @@
   Target& target = *exchange->pool->target;
   --target.running;
   exchange->running = false;
-  const LoadReport load = {
-      .running = static_cast<std::uint32_t>(target.running),
-      .waiting = static_cast<std::uint32_t>(target.queue.size()),
-      .slots = static_cast<std::uint32_t>(this->options.slots)};
+  LoadReport load = {.running = static_cast<std::uint32_t>(target.running),
+                     .waiting = static_cast<std::uint32_t>(target.queue.size()),
+                     .slots = static_cast<std::uint32_t>(this->options.slots)};
+  if (this->options.reports_speed) {
+    load.speed_percent = static_cast<std::uint32_t>(
+        std::lround(100 * this->SpeedOf(target, this->now)));
+  }
   this->StartQueued(target);
   this->Schedule(this->now + exchange->pool->delay, [this, exchange, load] {
     if (exchange->closed) {
--- a/test/load_simulation.h
+++ b/test/load_simulation.h
@@ -43,6 +43,14 @@
   Duration pause_interval{};
   std::vector<SlowPeriod> slow;
   Duration length = std::chrono::seconds(12);
+  /// Factor on the time of work at a target, by the time since the start and
+  /// the number of requests that run there. Empty: 1.
+  std::function<double(std::size_t target, Duration at, std::size_t running)>
+      speed;
+  bool reports_speed = false;  ///< whether replies state the factor
+  /// The rate of requests varies by this share of its mean.
+  double wave_swing = 0;
+  Duration wave_period = std::chrono::seconds(13);
   /// Whether hosts prefer targets of their own region that are in time.
   bool prefer_near = true;
 };
@@ -76,6 +84,8 @@
   std::size_t first_arrivals() const { return this->firsts; }
   std::size_t repeats() const { return this->repeat_count; }
   std::size_t far_requests() const { return this->far_count; }
+  /// Requests that reached the target in each half second.
+  const std::vector<std::size_t>& received(std::size_t target) const;
 
  private:
   struct Exchange;
@@ -96,6 +106,7 @@
   void Dispatch(Pool& pool);
   void Arrive(const ExchangePtr& exchange);
   void StartQueued(Target& target);
+  double SpeedOf(const Target& target, TimePoint at) const;
   TimePoint EndOfWork(const Target& target, Duration work) const;
   void Complete(const ExchangePtr& exchange);
   void Abandon(const ExchangePtr& exchange);
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -212,6 +212,23 @@
   }
 }
 
+// Guards against a load report that is lost because of an unreadable fourth
+// figure, and against a figure that makes work at the target seem free.
+BOOST_AUTO_TEST_CASE(SpeedIsOptionalAndBounded) {
+  const RelayCodec codec = platform::MakeRelayCodec();
+  const auto load_of = [&codec](const char* text) {
+    BeastResponse reply;
+    reply.set("X-Auburnyard-Server-Load", text);
+    return codec.decode_reply(reply).load;
+  };
+  BOOST_TEST(load_of("3,1,8,250")->speed_percent.value() == 250U);
+  for (const char* text : {"3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-5",
+                           "3,1,8,4294967295", "3,1,8,99999999999"}) {
+    BOOST_TEST(load_of(text)->running == 3U, text);
+    BOOST_TEST(!load_of(text)->speed_percent.has_value(), text);
+  }
+}
+
 // Guards against values being altered by their encoding in the store.
 BOOST_AUTO_TEST_CASE(Base64KeepsAllBytes) {
   std::string bytes;
