Play an account with a key and a limit in the soak and with real processes

Cause: nothing showed that limits hold over several hosts, or that keys reach no target, log or metric. Change: the stand-ins have an account with a limit; the soak sends five times its rate and checks each window of 5 s; a test searches the logs, metrics and answers of real hosts for the keys.

--- a/test/relay_process_test.cc
+++ b/test/relay_process_test.cc
@@ -318,6 +318,55 @@
   }
 }
 
+// Guards against keys of callers that reach targets, logs, metrics or answers,
+// and against an account whose limit each host applies on its own.
+BOOST_AUTO_TEST_CASE(AccountsAreLimitedAndTheirKeysStaySecret) {
+  constexpr std::string_view kWrongKey = "wrong-secret-key";
+  constexpr int kRequests = 150;
+  Fleet fleet(26'500);
+  std::string output;
+  std::map<int, int> statuses;
+  const auto ask = [&fleet](std::size_t host) {
+    return fleet.Get(host, "/account/x", fleet.NextId(), kDeadline,
+                     Fleet::kKey);
+  };
+  // The hosts learn from their registrations which of them keep the usage.
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    BOOST_TEST(Eventually([&] { return ask(host).status != 503; }));
+  }
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < kRequests; ++i) {
+    const HttpResponse answer =
+        ask(static_cast<std::size_t>(i) % fleet.hosts());
+    ++statuses[answer.status];
+    output += answer.body;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  const auto took = std::chrono::steady_clock::now() - start;
+  const HttpResponse refused =
+      fleet.Get(0, "/account/x", fleet.NextId(), kDeadline, kWrongKey);
+  BOOST_TEST((refused.status == 401 || refused.status == 503));
+  output += refused.body;
+  std::size_t runs = 0;
+  for (std::size_t i = 0; i < fleet.target_count(); ++i) {
+    runs += fleet.target(i).AccountRuns(std::string(Fleet::kAccount)).size();
+    BOOST_TEST(!fleet.target(i).received_key());
+  }
+  // Buckets are nearly empty after a start, so only the rate is certain.
+  const double seconds = std::chrono::duration<double>(took).count();
+  BOOST_TEST(static_cast<double>(runs) >= 0.7 * Fleet::kAccountRate * seconds);
+  if (took < Fleet::kLimitWindow) {
+    BOOST_TEST(runs <= fleet.MaxAccountRuns());
+    BOOST_TEST(statuses[429] > 0);
+  }
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    output += fleet.Metrics(host) + fleet.Log(host);
+  }
+  BOOST_TEST(output.find(Fleet::kKey) == std::string::npos);
+  BOOST_TEST(output.find(kWrongKey) == std::string::npos);
+  BOOST_TEST(output.find("account") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/util/relay_soak/soak.cc
+++ b/util/relay_soak/soak.cc
@@ -44,7 +44,10 @@
 // Registrations that another writer left and that cannot be decoded.
 constexpr std::size_t kOddEntries = 3;
 constexpr std::size_t kOddDepth = 100'000;
+// About five times the rate of the account.
+constexpr milliseconds kAccountCallInterval{25};
 constexpr int kStatusOk = 200;
+constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusUnavailable = 503;
 
 }  // namespace
@@ -79,6 +82,7 @@
     for (std::size_t i = 0; i < this->fleet.hosts(); ++i) {
       callers.emplace_back([this, i] { this->ProbeHost(i); });
     }
+    callers.emplace_back([this] { this->CallAsAccount(); });
     for (std::size_t i = 0; i < kCallers; ++i) {
       callers.emplace_back([this, i] { this->Call(i); });
     }
@@ -90,6 +94,7 @@
     this->stopping = true;
   }
   this->CheckExecutions();
+  this->CheckAccount();
   for (std::string& text : this->configuration.Summarize()) {
     this->AddViolation(std::move(text));
   }
@@ -466,6 +471,42 @@
   }
 }
 
+// Sends several times what the account may send, to all hosts.
+void Soak::CallAsAccount() {
+  std::mt19937_64 choices(this->options.seed);
+  for (std::uint64_t number = 0; !this->stopping; ++number) {
+    SoakCaller caller;
+    const auto answer = caller.Get(
+        this->fleet.Address(choices() % this->fleet.hosts()), "/account/x",
+        "account-" + std::to_string(number), RelayFleet::kKey);
+    if (answer && answer->result_int() == kStatusUnauthorized) {
+      this->AddViolation("a valid key was refused");
+    }
+    std::this_thread::sleep_for(kAccountCallInterval);
+  }
+}
+
+void Soak::CheckAccount() {
+  std::vector<std::chrono::steady_clock::time_point> runs;
+  for (std::size_t i = 0; i < this->fleet.target_count(); ++i) {
+    const auto found =
+        this->fleet.target(i).AccountRuns(std::string(RelayFleet::kAccount));
+    runs.insert(runs.end(), found.begin(), found.end());
+    if (this->fleet.target(i).received_key()) {
+      this->AddViolation("a target received the key of a caller");
+    }
+  }
+  std::sort(runs.begin(), runs.end());
+  const std::size_t allowed = this->fleet.MaxAccountRuns();
+  for (std::size_t i = allowed; i < runs.size(); ++i) {
+    if (runs[i] - runs[i - allowed] < RelayFleet::kLimitWindow) {
+      this->AddViolation("more than " + std::to_string(allowed) +
+                         " requests of an account ran within its window");
+      return;
+    }
+  }
+}
+
 void Soak::ProbeHost(std::size_t host) {
   std::mt19937_64 choices(this->options.seed + host);
   SoakCaller caller;
--- a/util/relay_soak/soak.h
+++ b/util/relay_soak/soak.h
@@ -73,6 +73,10 @@
   /// Whether the host serves all parts with the newest configuration.
   bool HasRecovered(SoakCaller& caller, std::size_t host, int round);
   void CheckExecutions();
+  /// Checks that the limit of the account held in every window and that no
+  /// target received its key.
+  void CheckAccount();
+  void CallAsAccount();
   void AddViolation(std::string text);
   std::size_t Pick(std::size_t count);
 
--- a/util/relay_soak/soak_caller.cc
+++ b/util/relay_soak/soak_caller.cc
@@ -38,7 +38,8 @@
 
 std::optional<BeastResponse> SoakCaller::Get(const std::string& address,
                                              const std::string& path,
-                                             const std::string& request_id) {
+                                             const std::string& request_id,
+                                             std::string_view key) {
   if (!this->Connect(address)) {
     return std::nullopt;
   }
@@ -46,6 +47,9 @@
   request.set(http::field::host, "fleet.example");
   request.set(platform::kRequestId, request_id);
   request.set(platform::kDeadline, std::to_string(kCallerTimeout.count()));
+  if (!key.empty()) {
+    request.set(platform::kApiKey, std::string(key));
+  }
   boost::beast::flat_buffer buffer;
   BeastResponse response;
   // The timeout of the stream applies to asynchronous operations only.
--- a/util/relay_soak/soak_caller.h
+++ b/util/relay_soak/soak_caller.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -18,7 +19,8 @@
   /// Empty if the connection failed or the answer timed out.
   std::optional<BeastResponse> Get(const std::string& address,
                                    const std::string& path,
-                                   const std::string& request_id);
+                                   const std::string& request_id,
+                                   std::string_view key = "");
 
   bool connected() const { return this->stream.has_value(); }
 
--- a/util/relay_standin/relay_fleet.cc
+++ b/util/relay_standin/relay_fleet.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <sstream>
 #include <utility>
 
 #include <unistd.h>
@@ -36,9 +37,19 @@
           {"target_latency_ms", kTargetLatencyMs},
           {"priority", 1},
           {"max_attempts", 2},
+          {"auth_exempt", true},
           {"allowed_regions", boost::json::array()}};
 }
 
+boost::json::array Accounts() {
+  return {{{"name", RelayFleet::kAccount},
+           {"api_keys", {RelayFleet::kKey}},
+           {"priority", 1},
+           {"rate_per_s", RelayFleet::kAccountRate},
+           {"burst", RelayFleet::kAccountBurst},
+           {"allowed_regions", boost::json::array()}}};
+}
+
 }  // namespace
 
 RelayFleet::RelayFleet(Options fleet_options)
@@ -106,7 +117,7 @@
 }
 
 std::uint16_t RelayFleet::Port(std::size_t host, std::size_t kind) const {
-  constexpr std::size_t kKinds = 4;
+  constexpr std::size_t kKinds = 6;
   return static_cast<std::uint16_t>(this->options.base_port + host * kKinds +
                                     kind);
 }
@@ -136,7 +147,9 @@
        {{"callers", address(0)},
         {"readiness", address(1)},
         {"peers", address(2)},
-        {"mirror", address(3)}}},
+        {"mirror", address(3)},
+        {"accounts", address(4)},
+        {"metrics_port", this->Port(host, 5)}}},
       {"store",
        {{"address",
          "127.0.0.1:" +
@@ -144,6 +157,10 @@
                  this->store_routes.at(this->DomainIndex(host))->port())},
         {"change_limit_ms", this->options.change_limit.count()},
         {"mirrors", std::move(mirrors)}}},
+      {"accounts",
+       {{"window_s", kLimitWindow.count()},
+        {"excess", kLimitExcess},
+        {"margin", kLimitMargin}}},
       {"shutdown_time_s", 6},
       {"repeats", {{"ratio", 0.2}, {"burst", 60}, {"window_s", 10}}},
       {"cold_targets", {{"rate_factor", 1.5}, {"rate_margin", 5}}}};
@@ -184,6 +201,22 @@
   }
 }
 
+std::string RelayFleet::Metrics(std::size_t host) const {
+  return CallHttp("127.0.0.1:" + std::to_string(this->Port(host, 5)),
+                  {.path = "/metrics"}, kReadinessTimeout)
+      .body;
+}
+
+std::string RelayFleet::Log(std::size_t host) const {
+  std::ifstream file((this->options.log_directory.empty()
+                          ? this->directory
+                          : this->options.log_directory) /
+                     ("h" + std::to_string(host) + ".log"));
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 void RelayFleet::PutRoutes(std::uint64_t version) {
   boost::json::object all =
       RouteObject("all", "idempotent", this->options.route_timeout);
@@ -208,6 +241,11 @@
       RouteObject("one", "non_idempotent", this->options.route_timeout);
   one["service"] = "s0";
   routes.push_back(std::move(one));
+  boost::json::object account =
+      RouteObject("account", "idempotent", this->options.route_timeout);
+  account["service"] = "s1";
+  account["auth_exempt"] = false;
+  routes.push_back(std::move(account));
   boost::json::object moved = RouteObject("moved", "idempotent", kProbeTimeout);
   moved["service"] = this->targets.at(this->MovedTarget(version))->service();
   routes.push_back(std::move(moved));
@@ -221,7 +259,14 @@
       "op/config", boost::json::serialize(
                        boost::json::object{{"version", version},
                                            {"routes", std::move(routes)},
-                                           {"services", std::move(services)}}));
+                                           {"services", std::move(services)},
+                                           {"tenants", Accounts()}}));
+}
+
+std::size_t RelayFleet::MaxAccountRuns() const {
+  const double allowed =
+      kAccountRate * static_cast<double>(kLimitWindow.count()) + kAccountBurst;
+  return static_cast<std::size_t>(allowed * (1 + kLimitExcess) + kLimitMargin);
 }
 
 std::size_t RelayFleet::MovedTarget(std::uint64_t version) const {
@@ -257,13 +302,17 @@
 HttpResponse RelayFleet::Get(std::size_t host,
                              const std::string& path,
                              const std::string& request_id,
-                             std::chrono::milliseconds deadline) const {
+                             std::chrono::milliseconds deadline,
+                             std::string_view key) const {
+  HttpHeaders headers = {
+      {"Host", "fleet.example"},
+      {std::string(platform::kRequestId), request_id},
+      {std::string(platform::kDeadline), std::to_string(deadline.count())}};
+  if (!key.empty()) {
+    headers.emplace_back(platform::kApiKey, key);
+  }
   return CallHttp(this->Address(host),
-                  {.path = path,
-                   .headers = {{"Host", "fleet.example"},
-                               {std::string(platform::kRequestId), request_id},
-                               {std::string(platform::kDeadline),
-                                std::to_string(deadline.count())}}},
+                  {.path = path, .headers = std::move(headers)},
                   deadline + kCallTimeoutMargin);
 }
 
--- a/util/relay_standin/relay_fleet.h
+++ b/util/relay_standin/relay_fleet.h
@@ -24,8 +24,10 @@
 /// service "s<i>" has two targets in neighbouring domains. Route /all/ fans out
 /// to all of them, route /one/ goes to "s0" and is not idempotent. Odd versions
 /// of the routes have a route /all/short/ with fewer records below /all/. Each
-/// version moves the route /moved/ to the next service, adds the route
-/// /v<version>/ and drops that of kMarkVersions versions before.
+/// Route /account/ goes to "s1" and needs the key of the only account; all
+/// other routes need none. Each version moves the route /moved/ to the next
+/// service, adds the route /v<version>/ and drops that of kMarkVersions
+/// versions before.
 class RelayFleet {
  public:
   struct Options {
@@ -73,6 +75,10 @@
                                                             : 0;
   }
   bool Ready(std::size_t host) const;
+  /// Metrics of a running host, as text.
+  std::string Metrics(std::size_t host) const;
+  /// What the host has logged since its last start.
+  std::string Log(std::size_t host) const;
 
   /// Writes a configuration to the store.
   void PutRoutes(std::uint64_t version);
@@ -95,6 +101,17 @@
     return mark > 0 && mark <= version && mark + kMarkVersions > version;
   }
 
+  /// The account, its key, and its limit for all hosts together.
+  static constexpr std::string_view kAccount = "fleet-account";
+  static constexpr std::string_view kKey = "fleet-secret-key";
+  static constexpr double kAccountRate = 8;
+  static constexpr double kAccountBurst = 8;
+  static constexpr std::chrono::seconds kLimitWindow{5};
+  static constexpr double kLimitExcess = 0.1;
+  static constexpr double kLimitMargin = 20;
+  /// Most executions for the account in any window of kLimitWindow.
+  std::size_t MaxAccountRuns() const;
+
   /// Maximum number of records of /all/ and of /all/short/.
   static constexpr std::size_t kTopRecords = 64;
   static constexpr std::size_t kShortTopRecords = 2;
@@ -102,7 +119,8 @@
   HttpResponse Get(std::size_t host,
                    const std::string& path,
                    const std::string& request_id,
-                   std::chrono::milliseconds deadline) const;
+                   std::chrono::milliseconds deadline,
+                   std::string_view key = "") const;
 
   /// Sets the state of the connections between the hosts of a domain and the
   /// store, or of those to a target.
--- a/util/relay_standin/relay_target.cc
+++ b/util/relay_standin/relay_target.cc
@@ -72,6 +72,15 @@
   return this->executed;
 }
 
+std::vector<std::chrono::steady_clock::time_point> RelayTarget::AccountRuns(
+    const std::string& account) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->account_runs.find(account);
+  return found == this->account_runs.end()
+             ? std::vector<std::chrono::steady_clock::time_point>()
+             : found->second;
+}
+
 void RelayTarget::Handle(const HttpRequest& request,
                          const HttpResponder& respond) {
   ++this->arrival_count;
@@ -88,7 +97,11 @@
     respond(std::move(refusal));
     return;
   }
-  HttpResponse response = this->Run(request_id);
+  if (!request.Header(platform::kApiKey).empty()) {
+    this->key_received = true;
+  }
+  HttpResponse response =
+      this->Run(request_id, std::string(request.Header(platform::kAccount)));
   response.headers.insert(response.headers.end(), identity.begin(),
                           identity.end());
   const int delay = this->faults.delay_ms;
@@ -104,9 +117,13 @@
       });
 }
 
-HttpResponse RelayTarget::Run(const std::string& request_id) {
+HttpResponse RelayTarget::Run(const std::string& request_id,
+                              const std::string& account) {
   const std::lock_guard lock(this->mutex);
   ++this->executed[request_id];
+  if (!account.empty()) {
+    this->account_runs[account].push_back(std::chrono::steady_clock::now());
+  }
   HttpResponse response{
       .status = this->faults.fails_requests ? kInternalError : 200,
       .body = this->Record(),
--- a/util/relay_standin/relay_target.h
+++ b/util/relay_standin/relay_target.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -47,12 +48,17 @@
   std::string Record() const;
   /// Number of executions by request ID.
   std::map<std::string, int> executions() const;
+  /// Times of the executions for an account.
+  std::vector<std::chrono::steady_clock::time_point> AccountRuns(
+      const std::string& account) const;
+  /// Whether a request had the key of a caller.
+  bool received_key() const { return this->key_received.load(); }
   std::uint64_t arrivals() const { return this->arrival_count.load(); }
   Faults faults;
 
  private:
   void Handle(const HttpRequest& request, const HttpResponder& respond);
-  HttpResponse Run(const std::string& request_id);
+  HttpResponse Run(const std::string& request_id, const std::string& account);
 
   boost::asio::io_context& context;
   std::string name;
@@ -63,6 +69,9 @@
   std::uint64_t reports = 0;
   mutable std::mutex mutex;
   std::map<std::string, int> executed;
+  std::map<std::string, std::vector<std::chrono::steady_clock::time_point>>
+      account_runs;
+  std::atomic<bool> key_received{false};
   std::atomic<std::uint64_t> arrival_count{0};
 };
 
