Order store data by epoch and revision

Cause: a store that returns from an older copy assigns revisions again. The watch and the mirrors compared revisions alone, so they kept keys that the store no longer had and missed changes, and a registration whose lease was lost counted as written when the identifier was assigned to another host.

Change: the epoch that the store states orders its data in the watch, the mirror, between hosts and in the registration. A higher epoch starts a read of all keys and a new lease, at a random time within 1.5 s. Removals of targets, hosts and evacuations that only the older copy explains are held back. The stand-in of the store can return to a saved copy.

--- a/src/relay/mirror_reader.cc
+++ b/src/relay/mirror_reader.cc
@@ -69,12 +69,13 @@
     this->ScheduleRequest();
     return;
   }
-  const auto known = this->hooks.known_revision();
+  const auto known = this->hooks.known_version();
   this->read_all = this->read_all || !known;
   const milliseconds wait = this->WaitAt(mirror);
   const HttpCall call =
       this->read_all ? this->codec.encode_range("", "", /*allow_stale=*/false)
-                     : this->codec.encode_watch("", *known, wait);
+                     : this->codec.encode_mirror_watch(*known, wait);
+  this->asked_epoch = known ? known->epoch : 0;
   this->connection->Exchange(
       call, this->TimeoutOf(wait),
       [self = this->shared_from_this(),
@@ -105,10 +106,18 @@
              {{"mirror", this->connected_to}, {"error", error.what()}});
     return false;
   }
+  // The mirror of an older version of the program ignores the epoch of a
+  // request, so that its changes may be those of another one.
+  if (!is_snapshot && page.epoch != this->asked_epoch) {
+    this->read_all = true;
+    this->ScheduleRequest();
+    return true;
+  }
   this->read_all = false;
-  this->hooks.on_page(page, is_snapshot);
+  const bool applied = this->hooks.on_page(page, is_snapshot);
   if (this->running && this->generation == sent_generation) {
-    if (page.direct && this->WaitAt(this->connected_to) > milliseconds(0)) {
+    if (applied && page.direct &&
+        this->WaitAt(this->connected_to) > milliseconds(0)) {
       this->SendRequest();
     } else {
       this->ScheduleRequest();
--- a/src/relay/mirror_reader.h
+++ b/src/relay/mirror_reader.h
@@ -26,11 +26,12 @@
     std::function<std::string()> choose_mirror;
     /// Time since all changes had been received.
     std::function<Duration()> data_age;
-    /// Revision up to which changes have been applied; none before the first
-    /// read.
-    std::function<std::optional<std::uint64_t>()> known_revision;
+    /// Version up to which changes have been applied; none before the first
+    /// read, and while a newer epoch is known than that of the data.
+    std::function<std::optional<StoreVersion>()> known_version;
     /// `is_snapshot`: the page holds all keys and replaces the previous state.
-    std::function<void(const StorePage& page, bool is_snapshot)> on_page;
+    /// Returns false if the page is too old to be applied.
+    std::function<bool(const StorePage& page, bool is_snapshot)> on_page;
     /// The mirror did not answer, or its answer could not be decoded.
     std::function<void()> on_failure;
     std::function<void(std::string_view kind, StoreCallOutcome outcome)>
@@ -72,6 +73,7 @@
   bool running = false;
   // Mirror that answered the last request since the start; may be empty.
   std::string answered_by;
+  std::uint64_t asked_epoch = 0;  // of the last request for changes
   bool read_all =
       false;  // the mirror no longer has the history that was requested
 };
--- a/src/relay/mirror_server.cc
+++ b/src/relay/mirror_server.cc
@@ -42,10 +42,10 @@
   try {
     const MirrorRequest mirror_request =
         this->codec.decode_mirror_request(request);
-    const bool significant =
-        mirror_request.all ||
-        this->mirror.significant_revision() > mirror_request.after;
-    if (significant || !this->direct) {
+    const bool has_news =
+        mirror_request.all || !this->mirror.HasNothingAfter(
+                                  {mirror_request.epoch, mirror_request.after});
+    if (has_news || !this->direct) {
       this->Answer(mirror_request, respond);
       return;
     }
@@ -64,7 +64,8 @@
                           const HttpResponder& respond) const {
   std::optional<StorePage> page =
       mirror_request.all ? this->mirror.All()
-                         : this->mirror.ChangesAfter(mirror_request.after);
+                         : this->mirror.ChangesAfter(
+                               {mirror_request.epoch, mirror_request.after});
   if (page) {
     page->direct = this->direct;
     page->followers = this->followers();
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -145,6 +145,11 @@
   this->service.HoldUntilConfigured(this->clock.Now() + kFirstReadTime);
   this->callers.Listen(Endpoint(this->settings.callers_address));
   this->peer_server.Listen(Endpoint(this->settings.peers_address));
+  this->follower.SetEpochHook([this](std::uint64_t epoch) {
+    if (this->registration != nullptr) {
+      this->registration->ObserveEpoch(epoch);
+    }
+  });
   this->follower.Start();
   this->WaitForSignal();
   this->Sweep();
@@ -198,11 +203,15 @@
   hooks.on_call = [this](std::string_view kind, StoreCallOutcome outcome) {
     this->metrics.CountStoreCall(kind, outcome);
   };
+  hooks.on_epoch = [this](std::uint64_t epoch) {
+    this->follower.ObserveEpoch(epoch);
+  };
   this->registration = std::make_shared<StoreRegistration>(
       this->context, this->adapter.store,
       ParseHostPort(this->settings.store_address),
       this->adapter.schema.encode_host(this->OwnEntry()),
       std::hash<std::string>()(this->settings.host_name), std::move(hooks));
+  this->registration->ObserveEpoch(this->follower.epoch());
   this->registration->Start();
 }
 
--- a/src/relay/store_codec.h
+++ b/src/relay/store_codec.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "src/net/http_connection.h"
+#include "src/relay/store_version.h"
 
 namespace auburnyard {
 
@@ -25,18 +26,22 @@
   std::vector<StoreItem> items;
   bool more = false;           ///< further items or changes exist already
   std::uint64_t revision = 0;  ///< up to which the items are complete
+  std::uint64_t epoch = 0;     ///< of the store, of all revisions in the page
   /// From a mirror: its host watches the store and the store answers it.
   bool direct = false;
   /// From a mirror: time since its host had all changes.
   std::chrono::milliseconds age{0};
   /// From a mirror: number of hosts that follow it.
   std::size_t followers = 0;
+
+  StoreVersion version() const { return {this->epoch, this->revision}; }
 };
 
 /// Request of another entry host for the store's keys.
 struct MirrorRequest {
   bool all = false;
   std::uint64_t after = 0;            ///< revision, unless `all`
+  std::uint64_t epoch = 0;            ///< of `after`
   std::chrono::milliseconds wait{0};  ///< for a change
 };
 
@@ -55,6 +60,14 @@
                          std::uint64_t after_revision,
                          std::chrono::milliseconds wait)>
       encode_watch;
+  /// Waits for changes after the version at the mirror of another host, which
+  /// may know another epoch.
+  std::function<HttpCall(StoreVersion after, std::chrono::milliseconds wait)>
+      encode_mirror_watch;
+  /// Epoch that an answer of the store states; none if it states none that can
+  /// be decoded.
+  std::function<std::optional<std::uint64_t>(const HttpResponse& response)>
+      decode_epoch;
   std::function<StorePage(const HttpResponse& response)> decode_range;
   std::function<StorePage(const HttpResponse& response)> decode_watch;
   std::function<HttpCall(std::chrono::milliseconds lifetime)> encode_lease;
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -15,6 +15,12 @@
 
 // Interval of the choice between the store and a mirror.
 constexpr std::chrono::seconds kChoiceInterval{1};
+// Hosts write their registrations again within 1.5 s of a new epoch, plus the
+// time until they see it; the operator writes its keys again within seconds.
+constexpr std::chrono::seconds kHeldRemovalTime{5};
+// A followed mirror may see a new epoch this much later than this host before
+// it is left; otherwise all hosts of its domain would read the store at once.
+constexpr milliseconds kMirrorEpochDelay{500};
 
 }  // namespace
 
@@ -81,6 +87,7 @@
     this->targets.DeferRemovals();
     this->UpdateMirrorServer();
   };
+  hooks.on_epoch = [this](std::uint64_t epoch) { this->OnEpoch(epoch); };
   hooks.on_call = [this](std::string_view kind, StoreCallOutcome outcome) {
     this->metrics.CountStoreCall(kind, outcome);
   };
@@ -91,9 +98,9 @@
   MirrorReader::Hooks hooks;
   hooks.choose_mirror = [this] { return this->NextMirror(); };
   hooks.data_age = [this] { return this->age(); };
-  hooks.known_revision = [this] { return this->watch->known_revision(); };
+  hooks.known_version = [this] { return this->watch->known_version(); };
   hooks.on_page = [this](const StorePage& page, bool is_snapshot) {
-    this->OnMirrorPage(page, is_snapshot);
+    return this->OnMirrorPage(page, is_snapshot);
   };
   hooks.on_failure = [this] {
     this->substitute_mirror.clear();
@@ -135,6 +142,7 @@
 
 void StoreFollower::Sweep() {
   this->mirror_server.Sweep();
+  this->RemoveHeld();
   this->UpdateTiming();
   const TimePoint now = this->clock.Now();
   if (now >= this->next_choice) {
@@ -237,12 +245,17 @@
 
 // Without contact to the store, this host cannot tell whether the other host
 // defers removals after losing the store itself, so it defers all of them.
-void StoreFollower::OnMirrorPage(const StorePage& page, bool is_snapshot) {
+bool StoreFollower::OnMirrorPage(const StorePage& page, bool is_snapshot) {
+  if (page.epoch < this->watch->epoch()) {
+    this->OnMirrorInOlderEpoch(page);
+    return false;
+  }
+  this->watch->ObserveEpoch(page.epoch);
   if (!page.direct) {
     this->substitute_mirror.clear();
   }
-  if (is_snapshot && page.revision < this->mirror.revision()) {
-    return;
+  if (is_snapshot && page.version() < this->mirror.version()) {
+    return true;
   }
   const TimePoint now = this->clock.Now();
   const PageOrigin origin = this->OriginFrom("mirror");
@@ -265,10 +278,84 @@
   } else {
     this->OnChanges(page, origin);
   }
-  this->watch->Advance(page.revision);
+  this->watch->Advance(page.version());
   this->LeaveOutdatedMirror();
   // The page may show that the followed host has left.
   this->ChooseSource();
+  return true;
+}
+
+// Called before the first data of the new epoch is applied. Removals are
+// deferred as after an outage, because targets write their entries again.
+void StoreFollower::OnEpoch(std::uint64_t epoch) {
+  this->epoch_seen_at = this->clock.Now();
+  this->targets.DeferRemovals();
+  if (this->epoch_hook) {
+    this->epoch_hook(epoch);
+  }
+}
+
+// A mirror that is followed is asked again at once, since its host has probably
+// seen the new epoch as well.
+void StoreFollower::ObserveEpoch(std::uint64_t epoch) {
+  if (epoch <= this->watch->epoch()) {
+    return;
+  }
+  this->watch->ObserveEpoch(epoch);
+  if (!this->followed_mirror.empty()) {
+    this->reader->Stop();
+    this->reader->Start();
+  }
+}
+
+void StoreFollower::OnMirrorInOlderEpoch(const StorePage& page) {
+  this->substitute_mirror.clear();
+  if (this->followed_mirror.empty() ||
+      this->clock.Now() - this->epoch_seen_at < kMirrorEpochDelay) {
+    return;
+  }
+  LogEvent(spdlog::level::warn, "mirror_of_older_epoch",
+           {{"mirror", this->followed_mirror},
+            {"epoch", page.epoch},
+            {"known", this->watch->epoch()}});
+  this->choice.OnOutdated(this->clock.Now());
+  this->ChooseSource();
+}
+
+// Registrations of hosts and evacuations are kept for a while, as
+// TargetTable::DeferRemovals does with targets. Without the other hosts, each
+// host of a large domain would connect to all targets and read the store.
+void StoreFollower::HoldRemovals(const StorePage& page) {
+  std::set<std::string_view> present;
+  for (const StoreItem& item : page.items) {
+    present.insert(item.key);
+  }
+  const TimePoint until = this->clock.Now() + kHeldRemovalTime;
+  const StorePage known = this->mirror.All();
+  for (const StoreItem& item : known.items) {
+    if (present.contains(item.key)) {
+      continue;
+    }
+    const StoreChange change = this->Decode(item);
+    if (std::holds_alternative<HostRegistered>(change) ||
+        std::holds_alternative<DomainEvacuation>(change)) {
+      this->held_removals[item.key] = {item, until};
+    }
+  }
+}
+
+void StoreFollower::RemoveHeld() {
+  const TimePoint now = this->clock.Now();
+  std::vector<std::string> due;
+  for (const auto& [key, held] : this->held_removals) {
+    if (held.until <= now) {
+      due.push_back(key);
+    }
+  }
+  for (std::string& key : due) {
+    LogEvent(spdlog::level::info, "held_removal_applied", {{"key", key}});
+    this->Apply({.key = std::move(key), .removed = true}, PageOrigin());
+  }
 }
 
 // Switches to the store for a while. A mirror that has lost the store is kept
@@ -334,6 +421,9 @@
 }
 
 bool StoreFollower::Apply(const StoreItem& item, const PageOrigin& origin) {
+  if (!this->held_removals.empty()) {
+    this->held_removals.erase(item.key);
+  }
   const StoreChange change = this->Decode(item);
   if (const auto* routes = std::get_if<RoutesChanged>(&change)) {
     this->PutInForce(*routes, item, origin);
@@ -364,11 +454,21 @@
 
 void StoreFollower::OnSnapshot(const StorePage& page,
                                const PageOrigin& origin) {
-  this->mirror.Reset(page.items, page.revision);
+  if (page.epoch > this->mirror.version().epoch) {
+    this->HoldRemovals(page);
+  }
+  for (const StoreItem& item : page.items) {
+    this->held_removals.erase(item.key);
+  }
+  std::vector<StoreItem> current = page.items;
+  for (const auto& [key, held] : this->held_removals) {
+    current.push_back(held.item);
+  }
+  this->mirror.Reset(page.items, page.version());
   std::set<std::string, std::less<>> evacuated;
   std::vector<TargetEntry> registered_targets;
   std::vector<HostEntry> registered_hosts;
-  for (const StoreItem& item : page.items) {
+  for (const StoreItem& item : current) {
     const StoreChange change = this->Decode(item);
     if (const auto* routes = std::get_if<RoutesChanged>(&change)) {
       this->PutInForce(*routes, item, origin);
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -1,10 +1,13 @@
 #ifndef AUBURNYARD_SRC_RELAY_STORE_FOLLOWER_H_
 #define AUBURNYARD_SRC_RELAY_STORE_FOLLOWER_H_
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "auburnyard/host_table.h"
@@ -55,6 +58,15 @@
   /// Applies to calls that begin later.
   void SetChangeLimit(std::chrono::milliseconds limit);
   std::uint64_t revision() const { return this->mirror.revision(); }
+  /// Sets the function that is called when the store is seen in a higher epoch
+  /// than any known before.
+  void SetEpochHook(std::function<void(std::uint64_t epoch)> hook) {
+    this->epoch_hook = std::move(hook);
+  }
+  /// Records that the store was seen in this epoch on another connection.
+  void ObserveEpoch(std::uint64_t epoch);
+  /// Highest known epoch of the store.
+  std::uint64_t epoch() const { return this->watch->epoch(); }
   /// True if all keys were read at least once, whatever they contain.
   bool has_store_data() const { return this->watch->synchronized(); }
   /// True if routes and target registrations were read.
@@ -82,7 +94,13 @@
   PageOrigin OriginFrom(std::string_view source) const;
   void OnSnapshot(const StorePage& page, const PageOrigin& origin);
   void OnChanges(const StorePage& page, const PageOrigin& origin);
-  void OnMirrorPage(const StorePage& page, bool is_snapshot);
+  /// Returns false if the page is older than the data here.
+  bool OnMirrorPage(const StorePage& page, bool is_snapshot);
+  void OnEpoch(std::uint64_t epoch);
+  void OnMirrorInOlderEpoch(const StorePage& page);
+  /// Holds back the removal of items that a read in a new epoch does not have.
+  void HoldRemovals(const StorePage& page);
+  void RemoveHeld();
   std::string NextMirror();
   std::string PickSubstitute();
   void ChooseSource();
@@ -121,6 +139,14 @@
   TimePoint up_to_date_at{};  // all changes up to this time are applied
   std::size_t followed_domain_size = 0;  // as last reported by the mirror
   bool mirroring_stopped = false;
+  std::function<void(std::uint64_t epoch)> epoch_hook;
+  TimePoint epoch_seen_at{};  // the highest known epoch
+  struct HeldItem {
+    StoreItem item;
+    TimePoint until;
+  };
+  // Items in force that the present epoch does not have, by key.
+  std::map<std::string, HeldItem, std::less<>> held_removals;
   std::shared_ptr<StoreWatch> watch;
   std::shared_ptr<MirrorReader> reader;
 };
--- a/src/relay/store_mirror.cc
+++ b/src/relay/store_mirror.cc
@@ -15,14 +15,22 @@
 
 }  // namespace
 
-// Readers receive only the difference; otherwise a store that loses its history
-// would make every host of the domain read all keys.
-void StoreMirror::Reset(std::span<const StoreItem> all,
-                        std::uint64_t revision) {
-  if (revision < this->current) {
+// Within an epoch, readers receive only the difference; otherwise a store that
+// loses its history would make every host of the domain read all keys. In a new
+// epoch they read all: one of them may have keys of the older epoch that were
+// never received here, so that no tombstone would remove them.
+void StoreMirror::Reset(std::span<const StoreItem> all, StoreVersion version) {
+  if (version < this->current) {
     return;
   }
-  if (this->empty()) {
+  const std::uint64_t revision = version.revision;
+  if (version.epoch > this->current.epoch) {
+    this->items.clear();
+    this->tombstones.clear();
+    this->current = {.epoch = version.epoch};
+    this->history_start = revision;
+    this->last_significant_revision = revision;
+  } else if (this->empty()) {
     this->history_start = revision;
     this->last_significant_revision = revision;
   }
@@ -74,15 +82,18 @@
 }
 
 void StoreMirror::Apply(std::span<const StoreItem> changes,
-                        std::uint64_t revision) {
+                        StoreVersion version) {
+  if (version.epoch != this->current.epoch) {
+    return;
+  }
   for (const StoreItem& item : changes) {
     this->Put(item, /*significant=*/true);
   }
-  this->Advance(revision);
+  this->Advance(version.revision);
 }
 
 void StoreMirror::Advance(std::uint64_t revision) {
-  this->current = std::max(this->current, revision);
+  this->current.revision = std::max(this->current.revision, revision);
   this->DropOldTombstones();
 }
 
@@ -100,19 +111,22 @@
 
 StorePage StoreMirror::All() const {
   StorePage page;
-  page.revision = this->current;
+  page.revision = this->current.revision;
+  page.epoch = this->current.epoch;
   for (const auto& [key, entry] : this->items) {
     page.items.push_back(entry.item);
   }
   return page;
 }
 
-std::optional<StorePage> StoreMirror::ChangesAfter(std::uint64_t after) const {
-  if (after < this->history_start) {
+std::optional<StorePage> StoreMirror::ChangesAfter(StoreVersion known) const {
+  const std::uint64_t after = known.revision;
+  if (known.epoch != this->current.epoch || after < this->history_start) {
     return std::nullopt;
   }
   StorePage page;
-  page.revision = this->current;
+  page.revision = this->current.revision;
+  page.epoch = this->current.epoch;
   for (const auto& [key, entry] : this->items) {
     if (entry.significant_revision > after) {
       page.items.push_back(entry.item);
--- a/src/relay/store_registration.cc
+++ b/src/relay/store_registration.cc
@@ -30,7 +30,8 @@
       item(std::move(registered)),
       hooks(std::move(registration_hooks)),
       timer(relay_context.io),
-      backoff(seed) {}
+      backoff(seed),
+      random(seed) {}
 
 void StoreRegistration::Start() {
   this->Acquire();
@@ -46,18 +47,28 @@
   this->connection->Exchange(
       call, kCallTimeout,
       [self = this->shared_from_this(), kind,
+       sent_generation = this->generation,
        next = std::move(next)](const ExchangeResult& result) {
         const bool success =
             result.error.empty() && result.response.status == kStatusOk;
+        if (self->generation != sent_generation) {
+          return;
+        }
         self->hooks.on_call(kind, OutcomeOf(result));
         if (!result.error.empty()) {
           self->connection = nullptr;
+        } else {
+          // May begin a new generation, which acquires a lease.
+          self->ObserveEpoch(
+              self->codec.decode_epoch(result.response).value_or(0));
+        }
+        if (self->generation != sent_generation) {
+          return;
         }
         if (result.error.empty() && self->codec.lease_ended(result.response)) {
           LogEvent(spdlog::level::info, "registration_lapsed",
-                   {{"key", self->item.key}, {"lease", self->lease}});
-          self->lease = 0;
-          self->written = false;
+                   {{"key", self->item.key}, {"lease", self->state.id()}});
+          self->state.OnEnded();
         }
         if (self->released) {
           return;
@@ -73,9 +84,33 @@
 
 void StoreRegistration::Retry() {
   this->Schedule(this->backoff.Next(),
-                 this->lease == 0 ? &StoreRegistration::Acquire
-                 : this->written  ? &StoreRegistration::Renew
-                                  : &StoreRegistration::Put);
+                 this->state.id() == 0   ? &StoreRegistration::Acquire
+                 : this->state.written() ? &StoreRegistration::Renew
+                                         : &StoreRegistration::Put);
+}
+
+void StoreRegistration::ObserveEpoch(std::uint64_t observed) {
+  const bool is_new = observed > this->state.epoch();
+  if (this->state.ObserveEpoch(observed) && !this->released) {
+    LogEvent(spdlog::level::warn, "registration_of_older_epoch",
+             {{"key", this->item.key}, {"epoch", observed}});
+    this->AcquireLater();
+  }
+  if (is_new && this->hooks.on_epoch) {
+    this->hooks.on_epoch(observed);
+  }
+}
+
+// A call that is running was sent for a lease of the older epoch.
+void StoreRegistration::AcquireLater() {
+  ++this->generation;
+  if (this->connection != nullptr) {
+    std::exchange(this->connection, nullptr)->Close();
+  }
+  std::uniform_int_distribution<milliseconds::rep> spread(
+      0, kAcquireSpread.count());
+  this->Schedule(milliseconds(spread(this->random)),
+                 &StoreRegistration::Acquire);
 }
 
 void StoreRegistration::Schedule(Duration delay,
@@ -92,30 +127,38 @@
 void StoreRegistration::Acquire() {
   this->Call(this->codec.encode_lease(kLeaseTime), "lease",
              [this](const HttpResponse& response) {
+               bool granted = false;
                try {
-                 this->lease = this->codec.decode_lease(response);
+                 granted = this->state.OnGranted(
+                     this->codec.decode_lease(response),
+                     this->codec.decode_epoch(response).value_or(0));
                } catch (const Error& error) {
                  LogEvent(spdlog::level::warn, "lease_unreadable",
                           {{"error", error.what()}});
+               }
+               if (granted) {
+                 this->Put();
+               } else {
                  this->Retry();
-                 return;
                }
-               this->written = false;
-               this->Put();
              });
 }
 
 void StoreRegistration::Put() {
-  this->Call(
-      this->codec.encode_put(this->item.key, this->item.value, this->lease),
-      "put", [this](const HttpResponse&) {
-        this->written = true;
-        this->Schedule(kRenewalInterval, &StoreRegistration::Renew);
-      });
+  this->Call(this->codec.encode_put(this->item.key, this->item.value,
+                                    this->state.id()),
+             "put", [this](const HttpResponse& response) {
+               if (this->state.OnWritten(
+                       this->codec.decode_epoch(response).value_or(0))) {
+                 this->Schedule(kRenewalInterval, &StoreRegistration::Renew);
+               } else {
+                 this->Retry();
+               }
+             });
 }
 
 void StoreRegistration::Renew() {
-  this->Call(this->codec.encode_renewal(this->lease), "renew",
+  this->Call(this->codec.encode_renewal(this->state.id()), "renew",
              [this](const HttpResponse&) {
                this->Schedule(kRenewalInterval, &StoreRegistration::Renew);
              });
@@ -124,9 +167,12 @@
 void StoreRegistration::Release() {
   this->released = true;
   this->timer.cancel();
-  if (this->lease != 0) {
+  // A lease of an older epoch is never released: its identifier may be that of
+  // another host.
+  if (this->state.id() != 0) {
     this->connection = nullptr;
-    this->Call(this->codec.encode_release(this->lease), "release", nullptr);
+    this->Call(this->codec.encode_release(this->state.id()), "release",
+               nullptr);
   }
 }
 
--- a/src/relay/store_registration.h
+++ b/src/relay/store_registration.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 
 #include <boost/asio/steady_timer.hpp>
 
 #include "auburnyard/backoff.h"
 #include "src/net/http_client.h"
+#include "src/relay/lease_state.h"
 #include "src/relay/relay_context.h"
 #include "src/relay/store_call_outcome.h"
 #include "src/relay/store_codec.h"
@@ -21,6 +23,8 @@
   struct Hooks {
     std::function<void(std::string_view kind, StoreCallOutcome outcome)>
         on_call;
+    /// The store was seen in a higher epoch than any known here before.
+    std::function<void(std::uint64_t epoch)> on_epoch;
   };
 
   StoreRegistration(const RelayContext& context,
@@ -34,6 +38,16 @@
   /// Ends the lease, so that other hosts are notified at once that this host
   /// leaves.
   void Release();
+  /// Records that the store was seen in this epoch. A lease of an older one is
+  /// not used again; a new one is acquired within kAcquireSpread.
+  void ObserveEpoch(std::uint64_t observed);
+  /// The key was written under a lease that is valid as far as known.
+  bool written() const { return this->state.written(); }
+
+  /// Hundreds of hosts learn of a new epoch at the same time; their writes are
+  /// spread evenly over this time. Shorter than the time for which removals of
+  /// hosts are held back.
+  static constexpr std::chrono::milliseconds kAcquireSpread{1'500};
 
  private:
   void Acquire();
@@ -44,6 +58,7 @@
             std::function<void(const HttpResponse&)> next);
   void Schedule(Duration delay, void (StoreRegistration::*next)());
   void Retry();
+  void AcquireLater();
 
   const RelayContext& context;
   const StoreCodec& codec;
@@ -53,8 +68,10 @@
   boost::asio::steady_timer timer;
   Backoff backoff;
   std::shared_ptr<HttpConnection> connection;
-  std::uint64_t lease = 0;  // 0: none
-  bool written = false;     // the key was written under the lease
+  LeaseState state;
+  std::mt19937_64 random;
+  // Answers to calls of earlier generations are ignored.
+  std::uint64_t generation = 0;
   bool released = false;
 };
 
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -20,6 +20,10 @@
 constexpr milliseconds kPeekInterval{700};
 constexpr int kStatusOk = 200;
 
+Error OlderEpochError() {
+  return Error(ErrorKind::kProtocol, "the answer is of an older epoch");
+}
+
 }  // namespace
 
 namespace detail {
@@ -70,7 +74,9 @@
 }
 
 void StoreWatch::Pause() {
+  this->paused = true;
   ++this->generation;
+  this->snapshot.clear();
   this->timer.cancel();
   if (this->connection != nullptr) {
     std::exchange(this->connection, nullptr)->Close();
@@ -81,14 +87,65 @@
   ++this->generation;
   this->confirmed = false;
   this->unconfirmed_since = this->context.clock.Now();
-  this->Watch();
+  this->paused = false;
+  this->Continue();
 }
 
-void StoreWatch::Advance(std::uint64_t known) {
-  this->revision = std::max(this->revision, known);
+void StoreWatch::Advance(StoreVersion known) {
+  this->NoteEpoch(known.epoch);
+  this->version = std::max(this->version, known);
   this->has_snapshot = true;
 }
 
+void StoreWatch::NoteEpoch(std::uint64_t observed) {
+  if (observed <= this->latest_epoch) {
+    return;
+  }
+  LogEvent(spdlog::level::warn, "store_epoch_changed",
+           {{"prefix", this->prefix},
+            {"epoch", observed},
+            {"before", this->latest_epoch},
+            {"revision", this->version.revision}});
+  this->latest_epoch = observed;
+  this->allow_stale = false;
+  if (this->hooks.on_epoch) {
+    this->hooks.on_epoch(observed);
+  }
+}
+
+// The running call was sent for the older epoch. A watch would be answered only
+// at the end of its wait, if the store dropped it silently.
+void StoreWatch::ObserveEpoch(std::uint64_t observed) {
+  if (this->stopped || observed <= this->latest_epoch) {
+    return;
+  }
+  this->NoteEpoch(observed);
+  if (this->paused) {
+    return;
+  }
+  ++this->generation;
+  this->timer.cancel();
+  if (this->connection != nullptr) {
+    std::exchange(this->connection, nullptr)->Close();
+  }
+  this->ReadAgain();
+}
+
+void StoreWatch::ReadAgain() {
+  this->has_snapshot = false;
+  this->allow_stale = false;
+  this->snapshot.clear();
+  this->ReadPage();
+}
+
+void StoreWatch::Continue() {
+  if (this->has_snapshot && this->InLatestEpoch()) {
+    this->Watch();
+  } else {
+    this->ReadAgain();
+  }
+}
+
 void StoreWatch::Call(HttpCall call,
                       Duration timeout,
                       std::string_view kind,
@@ -107,6 +164,10 @@
           return;
         }
         self->hooks.on_call(kind, OutcomeOf(result));
+        if (result.error.empty()) {
+          self->NoteEpoch(
+              self->codec.decode_epoch(result.response).value_or(0));
+        }
         if (!result.error.empty()) {
           // A connection on which an answer was lost cannot be reused.
           self->connection = nullptr;
@@ -164,7 +225,7 @@
             {"call", what},
             {"error", error},
             {"waited_ms", ToMilliseconds(this->lost_at - this->called_at)},
-            {"revision", this->revision}});
+            {"revision", this->version.revision}});
   this->hooks.on_lost();
 }
 
@@ -173,8 +234,9 @@
 }
 
 void StoreWatch::Retry(Duration delay) {
-  this->Schedule(
-      delay, this->has_snapshot ? &StoreWatch::Watch : &StoreWatch::ReadPage);
+  // Pages that were read before the failure are kept.
+  this->Schedule(delay, this->has_snapshot ? &StoreWatch::Continue
+                                           : &StoreWatch::ReadPage);
 }
 
 void StoreWatch::ReadPage() {
@@ -198,12 +260,21 @@
     this->RetryLater("range", error);
     return;
   }
+  if (page.epoch < this->latest_epoch) {
+    this->snapshot.clear();
+    this->RetryLater("range", OlderEpochError());
+    return;
+  }
   this->OnAnswer();
+  if (!this->snapshot.empty() && page.epoch != this->snapshot_version.epoch) {
+    this->ReadAgain();
+    return;
+  }
   // Pages are not a consistent snapshot: the watch starts at the oldest
   // revision and reads the later changes again.
-  this->snapshot_revision =
-      this->snapshot.empty() ? page.revision
-                             : std::min(this->snapshot_revision, page.revision);
+  this->snapshot_version =
+      this->snapshot.empty() ? page.version()
+                             : std::min(this->snapshot_version, page.version());
   const bool more = page.more && !page.items.empty();
   std::move(page.items.begin(), page.items.end(),
             std::back_inserter(this->snapshot));
@@ -217,18 +288,20 @@
   this->confirmed = false;
   this->allow_stale = true;
   const StorePage all = {.items = std::move(this->snapshot),
-                         .revision = this->snapshot_revision};
+                         .revision = this->snapshot_version.revision,
+                         .epoch = this->snapshot_version.epoch};
   this->snapshot.clear();
   // Newer changes were received from another host while the pages were read.
-  if (all.revision < this->revision) {
+  if (all.version() < this->version) {
     this->Watch();
     return;
   }
-  this->revision = all.revision;
+  this->version = all.version();
   LogEvent(spdlog::level::info, "store_read",
            {{"prefix", this->prefix},
             {"keys", all.items.size()},
-            {"revision", this->revision}});
+            {"epoch", this->version.epoch},
+            {"revision", this->version.revision}});
   const std::uint64_t before = this->generation;
   const bool peek = this->hooks.on_snapshot(all);
   if (this->generation != before) {
@@ -264,7 +337,8 @@
   const std::uint64_t before = this->generation;
   if (result.error.empty() && result.response.status == kStatusOk) {
     try {
-      again = this->hooks.on_peek(this->codec.decode_range(result.response));
+      const StorePage page = this->codec.decode_range(result.response);
+      again = page.epoch == this->version.epoch && this->hooks.on_peek(page);
     } catch (const Error& error) {
       LogEvent(spdlog::level::warn, "store_answer_unreadable",
                {{"call", "peek"}, {"error", error.what()}});
@@ -276,7 +350,7 @@
   if (again && this->MayPeek()) {
     this->Schedule(kPeekInterval, &StoreWatch::Peek);
   } else {
-    this->Watch();
+    this->Continue();
   }
 }
 
@@ -286,19 +360,18 @@
   const milliseconds max_wait = this->confirmed && !this->lost
                                     ? this->timing.watch_wait()
                                     : milliseconds(0);
-  this->Call(this->codec.encode_watch(this->prefix, this->revision, max_wait),
-             max_wait + this->timing.watch_grace(), "watch",
-             &StoreWatch::OnWatch);
+  this->watched = this->version;
+  this->Call(
+      this->codec.encode_watch(this->prefix, this->version.revision, max_wait),
+      max_wait + this->timing.watch_grace(), "watch", &StoreWatch::OnWatch);
 }
 
 void StoreWatch::OnWatch(const ExchangeResult& result) {
   if (result.error.empty() && this->codec.history_lost(result.response)) {
     this->OnAnswer();
     LogEvent(spdlog::level::info, "store_history_lost",
-             {{"prefix", this->prefix}, {"revision", this->revision}});
-    this->has_snapshot = false;
-    this->allow_stale = false;
-    this->ReadPage();
+             {{"prefix", this->prefix}, {"revision", this->version.revision}});
+    this->ReadAgain();
     return;
   }
   if (!result.error.empty() || result.response.status != kStatusOk) {
@@ -312,7 +385,16 @@
     this->RetryLater("watch", error);
     return;
   }
+  if (page.epoch < this->latest_epoch) {
+    this->RetryLater("watch", OlderEpochError());
+    return;
+  }
   this->OnAnswer();
+  // The watch named a revision of an older epoch, so changes may be missing.
+  if (page.epoch != this->watched.epoch) {
+    this->Continue();
+    return;
+  }
   if (!std::exchange(this->confirmed, true)) {
     LogEvent(spdlog::level::info, "store_confirmed",
              {{"prefix", this->prefix},
@@ -324,13 +406,13 @@
       detail::PauseAfter(page, this->pause, this->timing.watch_pause());
   // Some of them may have been received from another host during the call.
   std::erase_if(page.items, [this](const StoreItem& item) {
-    return item.revision <= this->revision;
+    return item.revision <= this->version.revision;
   });
-  this->revision = std::max(this->revision, page.revision);
+  this->version = std::max(this->version, page.version());
   const std::uint64_t before = this->generation;
   this->hooks.on_changes(page);
   if (this->generation == before) {
-    this->Schedule(this->pause, &StoreWatch::Watch);
+    this->Schedule(this->pause, &StoreWatch::Continue);
   }
 }
 
--- a/src/relay/store_watch.h
+++ b/src/relay/store_watch.h
@@ -40,6 +40,9 @@
     /// The store answers again. Called before the first changes after the
     /// outage.
     std::function<void()> on_regained;
+    /// The store is in a higher epoch than any known before. All keys will be
+    /// read again.
+    std::function<void(std::uint64_t epoch)> on_epoch;
     std::function<void(std::string_view kind, StoreCallOutcome outcome)>
         on_call;
     /// Prefix of the keys that are peeked at by stale reads before the first
@@ -66,14 +69,32 @@
   void Pause();
   void Resume();
   bool lost_contact() const { return this->lost; }
-  /// Records that changes up to the revision were received from elsewhere.
-  void Advance(std::uint64_t known_revision);
-  std::optional<std::uint64_t> known_revision() const {
-    return this->has_snapshot ? std::optional(this->revision) : std::nullopt;
+  /// Records that changes up to the version were received from elsewhere.
+  void Advance(StoreVersion known);
+  /// Records that the store was seen in this epoch elsewhere. If it is higher
+  /// than any known before, reads all keys again at once, unless paused.
+  void ObserveEpoch(std::uint64_t observed);
+  /// Highest known epoch of the store.
+  std::uint64_t epoch() const { return this->latest_epoch; }
+  /// Version of the data; none before the first read, and while the data is of
+  /// an older epoch than the highest known one.
+  std::optional<StoreVersion> known_version() const {
+    return this->has_snapshot && this->InLatestEpoch()
+               ? std::optional(this->version)
+               : std::nullopt;
   }
   bool synchronized() const { return this->has_snapshot; }
 
  private:
+  bool InLatestEpoch() const {
+    return this->version.epoch == this->latest_epoch;
+  }
+  /// Records an epoch that the store or a mirror stated.
+  void NoteEpoch(std::uint64_t observed);
+  /// Reads all keys again, none of them stale.
+  void ReadAgain();
+  /// Watches, or reads all keys if they are not known in this epoch.
+  void Continue();
   void ReadPage();
   void OnPage(const ExchangeResult& result);
   /// Whether a peek now leaves time to confirm the data that was read.
@@ -106,8 +127,11 @@
   StoreTiming timing;
   Duration pause;                   // before the next watch
   std::vector<StoreItem> snapshot;  // pages read so far
-  std::uint64_t snapshot_revision = 0;
-  std::uint64_t revision = 0;
+  StoreVersion snapshot_version;    // of the oldest of these pages
+  StoreVersion version;             // of the data
+  StoreVersion watched;             // of the data at the last watch
+  std::uint64_t latest_epoch = 0;
+  bool paused = false;
   bool has_snapshot = false;
   // A watch was answered since the last read or pause, so the data is current
   // but for later changes.
--- a/test/mirror_reader_test.cc
+++ b/test/mirror_reader_test.cc
@@ -41,9 +41,12 @@
                                         : answering.address();
   };
   hooks.data_age = [] { return Duration::zero(); };
-  hooks.known_revision = [] { return std::optional<std::uint64_t>(1); };
+  hooks.known_version = [] {
+    return std::optional(StoreVersion{.revision = 1});
+  };
   hooks.on_page = [&](const StorePage& page, bool) {
     received = received || !page.items.empty();
+    return true;
   };
   hooks.on_failure = [] {};
   hooks.on_call = [](std::string_view, StoreCallOutcome) {};
@@ -82,8 +85,13 @@
     return answered_at == TimePoint() ? answering.address() : silent.address();
   };
   hooks.data_age = [] { return Duration::zero(); };
-  hooks.known_revision = [] { return std::optional<std::uint64_t>(1); };
-  hooks.on_page = [&](const StorePage&, bool) { answered_at = clock.Now(); };
+  hooks.known_version = [] {
+    return std::optional(StoreVersion{.revision = 1});
+  };
+  hooks.on_page = [&](const StorePage&, bool) {
+    answered_at = clock.Now();
+    return true;
+  };
   hooks.on_failure = [&] { failed_at = clock.Now(); };
   hooks.on_call = [](std::string_view, StoreCallOutcome) {};
   const StoreTiming timing(kChangeLimit);
--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -284,6 +284,75 @@
              ToMilliseconds(fixture.change_limit));
 }
 
+// Guards against a configuration, an evacuation or a host that is lost because
+// the store returned to an older copy, and against changes that are missed
+// afterwards because their revisions were assigned before.
+BOOST_AUTO_TEST_CASE(RestoredStoreRevertsNothingInForce) {
+  FollowerFixture fixture;
+  fixture.store.SaveCopy();
+  fixture.store.Put("op/config", std::string(kNewerRoutes));
+  fixture.store.Put("op/evacuate/d2", "{}");
+  fixture.store.Put("hosts/other", HostValue("", 1));
+  BOOST_REQUIRE(fixture.Eventually([&fixture] {
+    return fixture.service.routes() != nullptr &&
+           fixture.service.routes()->version() == 4 &&
+           fixture.hosts.RegisteredHosts().size() == 1 &&
+           fixture.store.pending_watches() == 1;
+  }));
+  fixture.store.RestoreCopy();
+  fixture.store.Put("hosts/next", HostValue("", 1));
+  BOOST_TEST(fixture.Eventually(
+      [&fixture] { return fixture.hosts.RegisteredHosts().size() == 2; }));
+  BOOST_TEST(fixture.service.routes()->version() == 4U);
+  // After the grace period, what was not written again is removed.
+  fixture.clock.Advance(std::chrono::seconds(10));
+  BOOST_TEST(fixture.Eventually([&fixture] {
+    fixture.follower->Sweep();
+    return fixture.hosts.RegisteredHosts().size() == 1;
+  }));
+  BOOST_TEST(fixture.service.routes()->version() == 4U);
+  fixture.store.WriteAgain();
+  BOOST_TEST(fixture.Eventually(
+      [&fixture] { return fixture.hosts.RegisteredHosts().size() == 2; }));
+}
+
+// Guards against a host that stays with a mirror of an older epoch, or that
+// takes over its data, after it has seen the newer one elsewhere.
+BOOST_AUTO_TEST_CASE(MirrorOfAnOlderEpochIsLeft) {
+  FollowerFixture fixture(/*pause_clock=*/false);
+  for (const std::string_view name : {"a", "b", "c", "h1"}) {
+    fixture.store.Put("hosts/" + std::string(name), HostValue("", 1));
+  }
+  StoreMirror data;
+  MirrorServer followed(fixture.context, fixture.store_codec, data);
+  followed.Listen("127.0.0.1:0");
+  followed.SetDirect(true);
+  fixture.store.Put(
+      "hosts/mirror",
+      HostValue("127.0.0.1:" + std::to_string(followed.port()), 4));
+  fixture.store.SaveCopy();
+  data.Advance(1);
+  BOOST_REQUIRE(fixture.Eventually([&] {
+    followed.SetUpToDateAt(fixture.clock.Now());
+    followed.Sweep();
+    fixture.follower->Sweep();
+    data.Advance(fixture.follower->revision());
+    return followed.pending_requests() == 1;
+  }));
+  fixture.store.RestoreCopy();
+  fixture.store.Put("hosts/next", HostValue("", 1));
+  fixture.follower->ObserveEpoch(1);
+  const TimePoint observed = fixture.clock.Now();
+  BOOST_TEST(fixture.Eventually([&] {
+    followed.SetUpToDateAt(fixture.clock.Now());
+    followed.Sweep();
+    fixture.follower->Sweep();
+    return fixture.hosts.RegisteredHosts().size() == 6;
+  }));
+  BOOST_TEST(ToMilliseconds(fixture.clock.Now() - observed) <
+             ToMilliseconds(fixture.change_limit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/test/store_watch_test.cc
+++ b/test/store_watch_test.cc
@@ -263,7 +263,7 @@
   BOOST_TEST(fixture.Eventually([&fixture] { return fixture.losses == 1; }));
   fixture.store.Put("a", "2");  // revision 3, received from another host
   fixture.known["a"] = "from another host";
-  fixture.watch->Advance(3);
+  fixture.watch->Advance({.revision = 3});
   fixture.store.Put("b", "3");
   fixture.store.SetFault(util::StoreFault::kNone);
   BOOST_TEST(
@@ -295,6 +295,69 @@
       fixture.Eventually([&fixture] { return !fixture.store.Has("hosts/a"); }));
 }
 
+// Guards against keeping keys that a restored store no longer has, and against
+// missing changes whose revisions were assigned a second time.
+BOOST_AUTO_TEST_CASE(RestoredStoreIsReadAgain) {
+  WatchFixture fixture;
+  fixture.store.Put("a", "1");
+  fixture.store.SaveCopy();
+  fixture.Start();
+  BOOST_REQUIRE(fixture.WaitsForChanges());
+  fixture.store.SetFault(util::StoreFault::kBusy);
+  fixture.store.Put("a", "2");
+  fixture.store.Put("b", "2");
+  fixture.watch->Advance({.revision = 4});
+  fixture.known = {{"a", "2"}, {"b", "2"}};
+  fixture.store.RestoreCopy();
+  for (int i = 0; i < 4; ++i) {
+    fixture.store.Put("c", std::to_string(i));  // revisions 3 to 6
+  }
+  fixture.store.SetFault(util::StoreFault::kNone);
+  fixture.store.Put("d", "1");
+  BOOST_TEST(
+      fixture.Eventually([&fixture] { return fixture.known.contains("d"); }));
+  BOOST_TEST(fixture.known["a"] == "1");
+  BOOST_TEST(!fixture.known.contains("b"));
+  BOOST_TEST(fixture.known["c"] == "3");
+}
+
+// Guards against a host that trusts a lease of an older epoch: the registration
+// is lost, and its lease identifier may be that of another host.
+BOOST_AUTO_TEST_CASE(RegistrationIsWrittenAgainToARestoredStore) {
+  constexpr std::chrono::seconds kLimit{8};  // one renewal and a margin
+  WatchFixture fixture;
+  StoreRegistration::Hooks hooks;
+  hooks.on_call = [](std::string_view, StoreCallOutcome) {};
+  StoreItem item;
+  item.key = "hosts/a";
+  item.value = "{}";
+  fixture.store.SaveCopy();
+  auto registration = std::make_shared<StoreRegistration>(
+      fixture.context, fixture.store_codec,
+      ParseHostPort(fixture.store.address()), item, 1, std::move(hooks));
+  registration->Start();
+  BOOST_REQUIRE(
+      fixture.Eventually([&fixture] { return fixture.store.Has("hosts/a"); }));
+  fixture.store.RestoreCopy();
+  BOOST_REQUIRE(!fixture.store.Has("hosts/a"));
+  // The lease of another host has the same identifier.
+  auto other_host = std::make_shared<HttpConnection>(
+      fixture.io, "127.0.0.1", ParseHostPort(fixture.store.address()).port);
+  other_host->Exchange(
+      fixture.store_codec.encode_lease(std::chrono::seconds(18)),
+      std::chrono::seconds(1), [](const ExchangeResult&) {});
+  const TimePoint restored = fixture.clock.Now();
+  BOOST_TEST(fixture.Eventually([&] {
+    return fixture.store.Has("hosts/a") ||
+           fixture.clock.Now() > restored + kLimit;
+  }));
+  BOOST_TEST(fixture.store.Has("hosts/a"));
+  registration->Release();
+  other_host->Close();
+  BOOST_TEST(
+      fixture.Eventually([&fixture] { return !fixture.store.Has("hosts/a"); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/util/relay_standin/store_standin.cc
+++ b/util/relay_standin/store_standin.cc
@@ -76,14 +76,47 @@
 
 void StoreStandin::Put(const std::string& key, std::string value) {
   const std::lock_guard lock(this->mutex);
+  this->later_writes.emplace_back(key, value);
   this->Change(key, platform::EncodeBase64(value), 0);
 }
 
 void StoreStandin::Remove(const std::string& key) {
   const std::lock_guard lock(this->mutex);
+  this->later_writes.emplace_back(key, std::nullopt);
   this->Change(key, std::nullopt, 0);
 }
 
+void StoreStandin::SaveCopy() {
+  const std::lock_guard lock(this->mutex);
+  this->copy = {.items = this->items,
+                .history = this->history,
+                .leases = this->leases,
+                .revision = this->revision,
+                .next_lease = this->next_lease};
+  this->later_writes.clear();
+}
+
+void StoreStandin::RestoreCopy() {
+  const std::lock_guard lock(this->mutex);
+  this->items = this->copy.items;
+  this->history = this->copy.history;
+  this->leases = this->copy.leases;
+  this->revision = this->copy.revision;
+  this->next_lease = this->copy.next_lease;
+  ++this->epoch;
+  this->NotifyWatches();
+}
+
+void StoreStandin::WriteAgain() {
+  const std::lock_guard lock(this->mutex);
+  for (const auto& [key, value] : this->later_writes) {
+    this->Change(
+        key,
+        value ? std::optional(platform::EncodeBase64(*value)) : std::nullopt,
+        0);
+  }
+}
+
 void StoreStandin::CompactHistory() {
   const std::lock_guard lock(this->mutex);
   this->compacted_revision = ++this->revision;
@@ -139,7 +172,8 @@
 void StoreStandin::NotifyWatches() {
   std::vector<std::shared_ptr<PendingWatch>> remaining;
   for (const std::shared_ptr<PendingWatch>& watch : this->watches) {
-    if (watch->after < this->compacted_revision) {
+    if (watch->after < this->compacted_revision ||
+        watch->after > this->revision) {
       watch->timer->cancel();
       this->Answer(watch->respond, {.status = kGone, .body = "{}"});
       continue;
@@ -200,6 +234,9 @@
     this->Withhold(respond);
     return;
   }
+  if (this->epoch > 0) {
+    response.headers.emplace_back("Store-Era", std::to_string(this->epoch));
+  }
   if (this->answer_delay.count() == 0) {
     respond(std::move(response));
     return;
--- a/util/relay_standin/store_standin.h
+++ b/util/relay_standin/store_standin.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -47,6 +48,14 @@
   /// Watches from earlier revisions get 410.
   void CompactHistory();
   void RevokeAllLeases();
+  /// Remembers the present state for RestoreCopy.
+  void SaveCopy();
+  /// Returns to the saved state in the next epoch. Later writes and leases are
+  /// lost, and their revisions and lease identifiers are assigned again.
+  void RestoreCopy();
+  /// Repeats the calls of Put and Remove since SaveCopy, as the operator and
+  /// the targets do.
+  void WriteAgain();
   /// Number of watches that wait for a change.
   std::size_t pending_watches() const;
   std::uint64_t calls(const std::string& path) const;
@@ -63,6 +72,13 @@
     std::uint64_t revision = 0;
     std::optional<std::string> value;
   };
+  struct Copy {
+    std::map<std::string, Item> items;
+    std::vector<Event> history;
+    std::set<std::uint64_t> leases;
+    std::uint64_t revision = 1;
+    std::uint64_t next_lease = 1;
+  };
   struct PendingWatch {
     std::string prefix;
     std::uint64_t after = 0;
@@ -98,6 +114,10 @@
   std::uint64_t revision = 1;
   std::uint64_t compacted_revision = 0;
   std::uint64_t next_lease = 1;
+  std::uint64_t epoch = 0;  // 0: answers do not state it
+  Copy copy;
+  // Calls of Put and Remove since the copy was saved.
+  std::vector<std::pair<std::string, std::optional<std::string>>> later_writes;
   StoreFault fault = StoreFault::kNone;
   std::chrono::milliseconds answer_delay{0};
 };
