Treat a reply with an invalid status as lost

Cause: Beast's parser accepts any three digits as a status, also 000 and 999, and treats each 1xx as a complete message without a body. So a caller got status 000 as an answer, and a 100 or 103 before the final reply counted as the reply or, without a request identifier, as a lost one.

Change: at targets, a status outside 200 to 599 closes the connection, and the attempt counts as lost. The project's HTTP client does the same, without identifiers.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "src/net/http_status.h"
 #include "src/net/keep_alive.h"
 
 namespace auburnyard {
@@ -56,6 +57,7 @@
   this->request.body() = call.body;
   this->request.prepare_payload();
   this->callback = std::move(done);
+  this->informational = 0;
   asio::dispatch(this->stream.get_executor(),
                  [self = this->shared_from_this(), timeout] {
                    self->stream.expires_after(timeout);
@@ -103,12 +105,26 @@
   http::async_read(this->stream, this->buffer, *this->parser,
                    [self = this->shared_from_this()](
                        boost::beast::error_code error, std::size_t) {
-                     self->Finish(
-                         error ? ExchangeStage::kRead : ExchangeStage::kDone,
-                         error);
+                     self->OnResponse(error);
                    });
 }
 
+// The time-out covers informational responses and the final one together.
+void HttpConnection::OnResponse(boost::beast::error_code error) {
+  if (!error) {
+    const int status = static_cast<int>(this->parser->get().result_int());
+    if (IsInformationalStatus(status) &&
+        ++this->informational <= kMaxInformationalReplies) {
+      this->ReadResponse();
+      return;
+    }
+    if (!IsFinalStatus(status)) {
+      error = http::error::bad_status;
+    }
+  }
+  this->Finish(error ? ExchangeStage::kRead : ExchangeStage::kDone, error);
+}
+
 void HttpConnection::Finish(ExchangeStage stage,
                             boost::beast::error_code error) {
   ExchangeResult result;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -62,6 +62,7 @@
   void SetSocketOptions();
   void Write();
   void ReadResponse();
+  void OnResponse(boost::beast::error_code error);
   void Finish(ExchangeStage stage, boost::beast::error_code error);
 
   static constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
@@ -78,6 +79,7 @@
       parser;
   Callback callback;
   bool connected = false;
+  int informational = 0;  // informational responses to the current call
   std::chrono::seconds probe_interval{0};  // 0: no probes
 };
 
--- a/src/relay/target_connection.cc
+++ b/src/relay/target_connection.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "src/net/http_status.h"
 #include "src/net/keep_alive.h"
 #include "src/relay/feed_parser.h"
 
@@ -82,6 +83,7 @@
   this->attempt_head = std::move(head_end);
   this->written = false;
   this->discarded = 0;
+  this->informational = 0;
   this->unnamed_at.reset();
   this->NewParser();
   const TargetExchange::SharedRequest& request = *this->current->request;
@@ -162,6 +164,10 @@
   BeastResponse response = this->parser->release();
   ExchangeEnd end;
   end.head = this->context.codec.decode_reply(response);
+  if (!IsFinalStatus(end.head.status)) {
+    this->OnNonFinalReply(end.head);
+    return;
+  }
   if (!this->AnswersExchange(end.head)) {
     const bool named = !end.head.request_id.empty();
     if (!named && !this->used_before) {
@@ -203,6 +209,18 @@
   return head.request_id == this->current->request->request_id;
 }
 
+// A reply with a request identifier claims to be the last one. With a status
+// that is none, or with an invalid one, no byte of the connection can be
+// trusted.
+void TargetConnection::OnNonFinalReply(const ReplyHead& head) {
+  if (IsInformationalStatus(head.status) && head.request_id.empty() &&
+      ++this->informational <= kMaxInformationalReplies) {
+    this->NewParser();
+    return;
+  }
+  this->Fail();
+}
+
 void TargetConnection::SkipReply(bool needs_eof) {
   if (++this->discarded > kMaxDiscarded || needs_eof) {
     this->Fail();
--- a/src/relay/target_connection.h
+++ b/src/relay/target_connection.h
@@ -80,6 +80,8 @@
   bool AnswersExchange(const ReplyHead& head) const;
   /// Reads on after a reply that belongs to another request.
   void SkipReply(bool needs_eof);
+  /// Skips an informational reply, and fails after any other one.
+  void OnNonFinalReply(const ReplyHead& head);
   void NewParser();
   void End(ExchangeEnd end, bool reusable);
   void Fail();
@@ -99,6 +101,8 @@
   std::chrono::seconds probe_interval{0};  // 0: none
   bool written = false;
   std::uint32_t discarded = 0;  // replies to other requests in this exchange
+  // Informational replies to the current request.
+  int informational = 0;
   std::optional<TimePoint> unnamed_at;
   bool used_before = false;  // for an earlier exchange
 };
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -35,6 +35,33 @@
              "body");
 }
 
+// Guards against a response with a status that HTTP does not have, and against
+// an informational one, being taken for the answer to a request.
+BOOST_AUTO_TEST_CASE(OnlyFinalStatusesAreAnswers) {
+  std::string bytes;
+  ScriptedServer server(
+      [&bytes](const std::string&) { return ScriptedReply{bytes}; });
+  const auto with_status = [](std::string_view status) {
+    return "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 0\r\n\r\n";
+  };
+  for (const std::string_view status :
+       {"000 None", "099 Odd", "101 Switching", "600 Odd", "999 Odd"}) {
+    bytes = with_status(status);
+    BOOST_CHECK_THROW(CallHttp(server.address(), {.path = "/"}, kTestTimeout),
+                      Error);
+  }
+  bytes = with_status("100 Continue") + with_status("103 Early Hints") +
+          with_status("204 None");
+  BOOST_TEST(CallHttp(server.address(), {.path = "/"}, kTestTimeout).status ==
+             204);
+  bytes.clear();
+  for (int i = 0; i < 100; ++i) {
+    bytes += with_status("100 Continue");
+  }
+  BOOST_CHECK_THROW(CallHttp(server.address(), {.path = "/"}, kTestTimeout),
+                    Error);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/test/target_pool_test.cc
+++ b/test/target_pool_test.cc
@@ -49,11 +49,14 @@
     bool sent = false;
   };
 
-  TargetExchangePtr Submit(Result& result, const std::string& id = "id") {
+  TargetExchangePtr Submit(Result& result,
+                           const std::string& id = "id",
+                           bool forwards_reply = false) {
     auto request = std::make_shared<TargetExchange::SharedRequest>();
     request->head = "GET / HTTP/1.1\r\nHost: h\r\n";
     request->request_id = id;
     request->idempotent = true;
+    request->forwards_reply = forwards_reply;
     request->deadline = this->clock.Now() + kTestTimeout;
     auto exchange = std::make_shared<TargetExchange>();
     exchange->request = std::move(request);
@@ -308,6 +311,50 @@
   BOOST_TEST((result.failure == PartFailure::kRefused));
 }
 
+// Guards against a broken reply that a caller gets as an answer, or that a part
+// of a fan-out counts as one: its status is outside 200 to 599, or a 1xx claims
+// to be the reply to the request.
+BOOST_AUTO_TEST_CASE(ReplyWithInvalidStatusIsLost) {
+  for (const std::string_view status :
+       {"000 None", "001 Odd", "099 Odd", "100 Continue", "101 Switching",
+        "103 Early Hints", "199 Odd", "600 Odd", "999 Odd"}) {
+    for (const bool forwards_reply : {true, false}) {
+      ScriptedServer server([status](const std::string&) {
+        return ScriptedReply{Reply("id", "", status)};
+      });
+      PoolFixture fixture(server.address());
+      PoolFixture::Result result;
+      fixture.Submit(result, "id", forwards_reply);
+      fixture.RunUntil([&result] { return result.reply || result.failure; });
+      BOOST_TEST(!result.reply.has_value(), status);
+      BOOST_TEST((result.failure == PartFailure::kLost), status);
+      BOOST_TEST(fixture.pool->connections() == 0U, status);
+    }
+  }
+  for (const std::string_view status : {"200 OK", "204 None", "599 Odd"}) {
+    const auto result = ExchangeWith({Reply("id", "", status)});
+    BOOST_TEST(result.reply.has_value(), status);
+  }
+}
+
+// Guards against a reply that is lost because the target announced it, and
+// against a target that sends announcements without end.
+BOOST_AUTO_TEST_CASE(InformationalRepliesAreSkipped) {
+  constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  const auto result =
+      ExchangeWith({std::string(kContinue) + hints + Reply("id", "final")});
+  BOOST_REQUIRE(result.reply.has_value());
+  BOOST_TEST(result.reply->status == 200);
+  BOOST_TEST(result.reply->body == "final");
+  const auto ended =
+      ExchangeWith({std::string(kContinue), ScriptedReply::Then::kClose});
+  BOOST_TEST((ended.failure == PartFailure::kLost));
+  const auto endless =
+      ExchangeWith({hints, ScriptedReply::Then::kRepeat, hints});
+  BOOST_TEST((endless.failure == PartFailure::kLost));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
