Add a command that checks a configuration before it is sent

Cause: hosts reject or silently ignore parts of a configuration, which the operator sees only after writing it to the store.

Change: auburnyard check-configuration FILE [--against FILE] [--json] reports errors, entries that can never match, limits that contradict each other and the differences from the version in force.

--- a/src/cli/program.cc
+++ b/src/cli/program.cc
@@ -14,13 +14,14 @@
 namespace {
 
 constexpr std::string_view kVersion = "auburnyard 0.1.0";
-constexpr int kNameColumnWidth = 16;
+constexpr int kNameColumnWidth = 20;
 
 // New subcommands are added here.
 std::vector<Command> AllCommands() {
   return {QueryCommand(),   IntentCommand(),        PlanCommand(),
           ConfirmCommand(), StatusCommand(),        ExplainCommand(),
-          ReplayCommand(),  CheckSettingsCommand(), LogCommand()};
+          ReplayCommand(),  CheckSettingsCommand(), CheckConfigurationCommand(),
+          LogCommand()};
 }
 
 std::vector<OptionSpec> CommonOptions() {
--- a/src/cli/subcommands.h
+++ b/src/cli/subcommands.h
@@ -13,6 +13,7 @@
 Command ExplainCommand();
 Command ReplayCommand();
 Command CheckSettingsCommand();
+Command CheckConfigurationCommand();
 Command LogCommand();
 
 }  // namespace auburnyard::cli
