--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -34,6 +34,10 @@
   /// Maximum number of records with which another entry host merged the reply.
   std::optional<std::uint32_t> top_records;
 
+  /// Another entry host did not start the bundle, because it has no capacity
+  /// for it in time.
+  bool overloaded = false;
+
   bool success() const { return this->status / 100 == 2; }
 };
 
@@ -110,6 +114,9 @@
   std::function<void(std::uint32_t bundle)> abandon_bundle;
 };
 
+/// Maximum number of parts that may be missing for the minimum coverage.
+std::size_t AllowedMissingParts(std::size_t parts, double min_coverage);
+
 /// State machine of one request: fetches a part for each shard, or a single
 /// reply that is forwarded unchanged. Retries and hedges parts, and answers at
 /// the latency objective if the coverage suffices. Performs no I/O.
@@ -184,6 +191,8 @@
   void StartBundles();
   /// Starts direct attempts for the parts of a bundle that is late or lost.
   void SplitBundle(Bundle& bundle, TimePoint now);
+  /// Gives up the parts of a bundle that its host did not start.
+  void RefuseBundle(Bundle& bundle);
   void MergeBundle(Bundle& bundle, RelayReply reply);
   void UpdateBundledPart(std::uint32_t index, bool present);
   /// Retries parts that are missing from bundles, once it is certain that the
@@ -229,7 +238,8 @@
   std::size_t failed_parts = 0;
   std::size_t parts_missing_from_bundles = 0;  // still open
   std::uint32_t started_repeats = 0;
-  bool no_target = false;  // a part failed because no target was available
+  bool bundle_refused = false;  // for lack of capacity in time
+  bool no_target = false;       // a part failed because no target was available
   /// Error of a request that is not answered by its deadline.
   ErrorKind deadline_error = ErrorKind::kDeadlineExceeded;
   LossCounts loss_counts{};
--- a/include/auburnyard/load_report.h
+++ b/include/auburnyard/load_report.h
@@ -2,6 +2,7 @@
 #define AUBURNYARD_LOAD_REPORT_H_
 
 #include <cstdint>
+#include <optional>
 
 namespace auburnyard {
 
@@ -10,6 +11,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// Time that work takes now, in percent of the usual time; empty if the
+  /// target does not report it.
+  std::optional<std::uint32_t> speed_percent;
 };
 
 }  // namespace auburnyard
--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -15,6 +15,16 @@
 /// How far a target is from this host.
 enum class Distance { kSameDomain, kSameRegion, kOtherRegion };
 
+/// What the wait of a request at a target depends on.
+struct TargetLoad {
+  double rounds = 0;    ///< requests ahead per slot
+  double slowness = 1;  ///< time that work takes, as a multiple of the usual
+  Duration round_trip{};
+
+  /// Order in which targets are expected to answer.
+  double Rank() const { return this->slowness * (1 + this->rounds); }
+};
+
 /// Registration and observations of one target at one host. Failure detection
 /// relies on the outcomes of requests and not on the health that the target
 /// reports.
@@ -67,6 +77,11 @@
   Duration Upper(TimePoint now, const WorkEstimate* work = nullptr) const;
   /// Expected time to the reply with the present queue or stall.
   Duration Delay(TimePoint now, const WorkEstimate* work = nullptr) const;
+  /// Whether the last load report contains the speed of the target.
+  bool ReportsSpeed() const { return this->load && this->load->speed_percent; }
+  /// Queue and speed by the last load report, or by the requests of this host
+  /// if there is no recent one.
+  TargetLoad Load(TimePoint now) const;
   /// Delay, plus penalties for conditions that make a reply unlikely.
   Duration Cost(TimePoint now, const WorkEstimate* work = nullptr) const;
   /// Whether the target is excluded after failures.
--- a/include/auburnyard/work_estimate.h
+++ b/include/auburnyard/work_estimate.h
@@ -15,11 +15,15 @@
   bool known() const;
   void Add(Duration work);
   Duration Mean() const { return this->mean; }
+  /// Quantile below the median. Slow targets and queues at some of the targets
+  /// do not change it, unlike the mean.
+  Duration Usual() const { return this->usual; }
   /// Estimated upper bound that few requests exceed at a normal target.
   Duration Upper() const;
 
  private:
   Duration mean{};
+  Duration usual{};
   Duration deviation{};
   std::uint32_t count = 0;  // of observations, up to the averaging length
 };
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -202,9 +202,13 @@
 }
 
 std::size_t FanOut::AllowedMissing() const {
-  const auto count = static_cast<double>(this->parts.size());
-  const double needed = std::ceil(
-      count * this->request_plan.route->min_coverage - kCoverageTolerance);
+  return AllowedMissingParts(this->parts.size(),
+                             this->request_plan.route->min_coverage);
+}
+
+std::size_t AllowedMissingParts(std::size_t parts, double min_coverage) {
+  const auto count = static_cast<double>(parts);
+  const double needed = std::ceil(count * min_coverage - kCoverageTolerance);
   const double allowed = count - std::max(1.0, needed);
   return allowed > 0 ? static_cast<std::size_t>(allowed) : 0;
 }
@@ -224,8 +228,13 @@
                                  : this->failed_parts > this->AllowedMissing();
   if (coverage_unreachable) {
     this->CountLosses(now);
-    this->FinishRefusal(this->no_target ? ErrorKind::kNoCapacity
-                                        : ErrorKind::kCoverageTooLow);
+    ErrorKind error = ErrorKind::kCoverageTooLow;
+    if (this->bundle_refused) {
+      error = ErrorKind::kOverloaded;
+    } else if (this->no_target) {
+      error = ErrorKind::kNoCapacity;
+    }
+    this->FinishRefusal(error);
     return;
   }
   const std::size_t missing = this->failed_parts + this->open_parts;
--- a/src/core/fan_out_bundles.cc
+++ b/src/core/fan_out_bundles.cc
@@ -40,6 +40,11 @@
   }
 }
 
+std::size_t FanOut::AllowedMissing(std::uint32_t bundle) const {
+  return this->AllowedMissing() * this->bundles[bundle].parts.size() /
+         this->parts.size();
+}
+
 // The entry host may have used the maximum number of targets for a part.
 // Further attempts stay within the limit only if there are no other targets.
 bool FanOut::MaySplit(const Bundle& bundle) const {
@@ -77,6 +82,14 @@
                            TimePoint now) {
   Bundle& bundle = this->bundles[index];
   const std::size_t answered = reply.part_signatures.size();
+  if (reply.overloaded) {
+    bundle.open = false;
+    this->RefuseBundle(bundle);
+    if (!this->done) {
+      this->CheckProgress(now);
+    }
+    return;
+  }
   // A bundle that was merged with another limit may lack records of its parts.
   const bool usable =
       reply.success() && answered > 0 && answered <= bundle.parts.size() &&
@@ -113,6 +126,22 @@
   this->CheckProgress(now);
 }
 
+// Attempts of this host would add to the load that the other host rejected.
+void FanOut::RefuseBundle(Bundle& bundle) {
+  this->bundle_refused = true;
+  for (const std::uint32_t index : bundle.parts) {
+    Part& part = this->parts[index];
+    if (bundle.sent && part.executions > 0) {
+      --part.executions;
+    }
+    if (!this->done && !part.settled && !HasOpenAttempt(part)) {
+      ++this->failed_parts;
+      this->Settle(part);
+    }
+  }
+  bundle.sent = false;
+}
+
 void FanOut::RetryOrGiveUpParts(const Bundle& bundle, TimePoint now) {
   for (const std::uint32_t index : bundle.parts) {
     Part& part = this->parts[index];
--- a/src/core/target_state.cc
+++ b/src/core/target_state.cc
@@ -17,6 +17,10 @@
 
 // A load report is used for this long.
 constexpr milliseconds kLoadReportValidity{200};
+// The queue and the speed are used for this long to decide how many requests
+// are admitted, for which the trend matters more than the present value.
+constexpr milliseconds kQueueReportValidity{500};
+constexpr std::uint32_t kUsualSpeed = 100;
 // Pauses of targets end within a few hundred milliseconds.
 constexpr milliseconds kStallCost{150};
 // Added to the upper latency estimate, so that an ordinary slow request does
@@ -250,6 +254,24 @@
   return delay;
 }
 
+TargetLoad TargetState::Load(TimePoint now) const {
+  TargetLoad result{.round_trip = this->RoundTrip()};
+  std::size_t ahead = this->sent_requests.size();
+  std::uint32_t slots = this->registration.slots;
+  if (this->load && now - this->load_reported_at < kQueueReportValidity) {
+    ahead =
+        std::max<std::size_t>(ahead, this->load->running + this->load->waiting);
+    slots = this->load->slots;
+    result.slowness =
+        std::clamp(this->load->speed_percent.value_or(kUsualSpeed) /
+                       static_cast<double>(kUsualSpeed),
+                   1.0, kMaxSlowdown);
+  }
+  result.rounds =
+      static_cast<double>(ahead) / static_cast<double>(std::max(1U, slots));
+  return result;
+}
+
 Duration TargetState::Cost(TimePoint now, const WorkEstimate* work) const {
   Duration cost = this->Delay(now, work);
   if (now < this->avoid_until) {
--- a/src/core/work_estimate.cc
+++ b/src/core/work_estimate.cc
@@ -12,6 +12,9 @@
 // Multiple of the mean deviation that few requests exceed.
 constexpr int kUpperDeviations = 4;
 constexpr std::chrono::milliseconds kMinWork{1};
+// The usual work is this quantile, approached by steps of a share of it.
+constexpr int kUsualPercent = 40;
+constexpr int kUsualStepDivisor = 25;
 
 }  // namespace
 
@@ -26,6 +29,12 @@
   if (this->known()) {
     observed = std::min(observed, this->Upper());
   }
+  if (this->count == 0) {
+    this->usual = observed;
+  }
+  const Duration step = this->usual / kUsualStepDivisor;
+  this->usual += observed > this->usual ? step * kUsualPercent / 100
+                                        : step * (kUsualPercent - 100) / 100;
   this->count = std::min<std::uint32_t>(this->count + 1, kAveragedRequests);
   const Duration error = observed - this->mean;
   this->mean += error / static_cast<int>(this->count);
