Refuse requests that cannot be answered in time

Cause: fronts see about one request per second and cannot know that shards reached by other hosts are overloaded. Change: hosts that fetch bundles report their shares in Auburnyard-Admission and refuse bundles that would be late, if the requesting host allows it. RelayService refuses requests beyond the share with 503, not run, before anything is sent and before the account limit is asked. Parts that cannot be answered before the deadline are not sent. Takes effect where targets report the fourth load figure, or by the setting `admission`.

--- a/src/relay/peer_table.cc
+++ b/src/relay/peer_table.cc
@@ -44,8 +44,15 @@
                   .failure_domain = entry.failure_domain,
                   .slots = kPeerSlots},
       Distance::kOtherRegion);
+  TargetPool::Hooks hooks;
+  hooks.on_admission = [this](const TargetPtr& host,
+                              std::span<const AdmissionShare> shares) {
+    if (this->on_admission) {
+      this->on_admission(host, shares);
+    }
+  };
   auto pool =
-      std::make_shared<TargetPool>(this->context, state, TargetPool::Hooks());
+      std::make_shared<TargetPool>(this->context, state, std::move(hooks));
   pool->SetConnectionLimit(kConnectionsPerPeer);
   pool->SetLinger(Duration::zero());
   pool->EnableProbes(kProbeInterval);
--- a/src/relay/peer_table.h
+++ b/src/relay/peer_table.h
@@ -26,6 +26,12 @@
   /// True if this host also reaches the targets of its own domain through other
   /// hosts.
   bool delegates() const;
+  /// Sets a function that receives the shares that another host can answer.
+  void SetAdmissionHook(
+      std::function<void(const TargetPtr&, std::span<const AdmissionShare>)>
+          hook) {
+    this->on_admission = std::move(hook);
+  }
   std::shared_ptr<TargetPool> PoolOf(const TargetPtr& peer) const;
   void Sweep();
 
@@ -40,6 +46,8 @@
   std::map<std::string, std::shared_ptr<TargetPool>, std::less<>> pools;
   std::mt19937_64 random;
   TimePoint next_preconnect{};
+  std::function<void(const TargetPtr&, std::span<const AdmissionShare>)>
+      on_admission;
 };
 
 }  // namespace auburnyard
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "auburnyard/admission_control.h"
 #include "auburnyard/fan_out.h"
 #include "auburnyard/load_report.h"
 #include "src/net/http_message.h"
@@ -26,6 +27,9 @@
   std::uint32_t priority = 0;
   std::chrono::milliseconds latency_objective{0};
   std::string account;  ///< of the caller; may be empty
+  /// Parts that may be missing, in proportion to the size of the bundle. Empty:
+  /// the requesting host expects no refusal for lack of capacity.
+  std::optional<std::uint32_t> refusable_missing_parts;
 };
 
 /// A caller's request, decoded.
@@ -60,6 +64,11 @@
   std::optional<std::uint32_t> top_records;
   bool refused = false;       ///< the target did not run the request
   bool wrong_target = false;  ///< another target has this address
+  /// The host did not start the bundle because it could not be answered in
+  /// time.
+  bool overloaded = false;
+  /// Shares of the requests that the host can answer in time.
+  std::vector<AdmissionShare> admission;
   bool encoded_body = false;  ///< the body is not the target's own bytes
   std::optional<LoadReport> load;
   std::optional<std::chrono::milliseconds> remaining_warm_up;
@@ -93,6 +102,11 @@
   std::function<std::string(std::uint32_t top_records,
                             std::span<const std::string> missing_services)>
       encode_bundle_answer;
+  /// Header with the shares that this host can answer in time; `refused`: the
+  /// bundle was not started for that reason.
+  std::function<std::string(std::span<const AdmissionShare> shares,
+                            bool refused)>
+      encode_admission;
   /// Status line and headers of a merged answer.
   std::function<std::string(const FanOutResult& result)> encode_merged;
 };
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -126,6 +126,7 @@
 }
 
 void RelayHost::Run() {
+  this->service.SetAdmissionMode(this->settings.admission);
   this->service.SetOutdatedCheck([this] { return this->follower.outdated(); });
   this->service.SetRevocationCheck([this] {
     const AccountSettings& accounts = this->settings.accounts;
@@ -224,6 +225,7 @@
   try {
     RelaySettings changed = LoadRelaySettings(this->settings_path);
     this->service.SetBudgetLimits(BudgetLimits(changed));
+    this->service.SetAdmissionMode(changed.admission);
     this->follower.SetChangeLimit(changed.change_limit);
     this->settings = std::move(changed);
     LogEvent(spdlog::level::info, "settings_reloaded",
--- a/src/relay/relay_job.h
+++ b/src/relay/relay_job.h
@@ -25,6 +25,8 @@
   bool from_peer = false;
   /// The request was counted for the limit of its account.
   bool counts_for_limit = false;
+  /// The load of targets was considered for this request.
+  bool counts_for_admission = false;
   /// Route of a bundle, as the requesting host described it.
   std::optional<Route> bundle_route;
   TimePoint arrival{};
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -99,6 +99,16 @@
   this->configuration_delay.Observe(age);
 }
 
+void RelayMetrics::SetAdmittedShare(const RequestKind& kind, double share) {
+  this->all
+      .Gauge("auburnyard_relay_admitted_share",
+             "Share of the requests of a kind that this host admits.",
+             {{"objective_ms", std::to_string(kind.objective.count())},
+              {"records", std::to_string(kind.records)},
+              {"priority", std::to_string(kind.priority)}})
+      .Set(share);
+}
+
 void RelayMetrics::CountStoreCall(std::string_view kind,
                                   StoreCallOutcome outcome) {
   this->all
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -3,6 +3,7 @@
 
 #include <string_view>
 
+#include "auburnyard/admission_control.h"
 #include "auburnyard/fan_out.h"
 #include "auburnyard/loss_cause.h"
 #include "src/net/metrics_registry.h"
@@ -21,6 +22,8 @@
   void ObserveRequest(bool fans_out, Duration latency);
   /// Counts missing parts by cause.
   void CountLosses(const LossCounts& losses);
+  /// Sets the share of the requests of a kind that this host can answer.
+  void SetAdmittedShare(const RequestKind& kind, double share);
   void CountStoreCall(std::string_view kind, StoreCallOutcome outcome);
   /// Records the upper bound of the delay of a configuration that came into
   /// force: the age of the data that it replaced.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -113,7 +113,13 @@
       metrics(relay_metrics),
       budget_limits(limits),
       random(kRandomSeed),
-      outcome_lines(kOutcomeLinesPerSecond) {}
+      outcome_lines(kOutcomeLinesPerSecond),
+      request_admission(relay_context, target_table, relay_metrics) {
+  this->peers.SetAdmissionHook(
+      [this](const TargetPtr& host, std::span<const AdmissionShare> shares) {
+        this->request_admission.OnReport(host->entry().id, shares);
+      });
+}
 
 bool RelayService::SetRoutes(std::shared_ptr<const RouteTable> newer) {
   if (this->table != nullptr && newer->version() <= this->table->version()) {
@@ -238,6 +244,18 @@
 }
 
 void RelayService::Admit(const RelayJobPtr& job) {
+  const Route& route = *job->route;
+  const auto retry_after = this->request_admission.FindRefusal(
+      *job, *this->WorkOf(route),
+      AllowedMissingParts(route.shards.size(), route.min_coverage),
+      !this->peers.delegates());
+  if (retry_after) {
+    this->Refuse(job->request, kStatusUnavailable,
+                 DescribeError(ErrorKind::kOverloaded).name,
+                 "the request cannot be answered in time", *retry_after,
+                 job->respond);
+    return;
+  }
   if (job->account == nullptr || !job->account->limits.limited() ||
       !this->account_admission.admit) {
     this->Start(job);
@@ -284,6 +302,17 @@
   request.account = std::move(request.bundle->account);
   const RelayJobPtr job =
       this->MakeBundleJob(std::move(request), std::move(respond));
+  if (!this->request_admission.MayStartBundle(*job,
+                                              *this->WorkOf(*job->route))) {
+    this->metrics.CountRefusal("overloaded_bundle");
+    CallerAnswer answer = MakeRefusal(
+        kStatusUnavailable, DescribeError(ErrorKind::kOverloaded).title,
+        DescribeError(ErrorKind::kOverloaded).name, RunState::kNotRun,
+        milliseconds(0));
+    answer.head += this->request_admission.EncodeShares(/*refused=*/true);
+    this->Respond(*job, job->request.request_id, std::move(answer));
+    return nullptr;
+  }
   this->Start(job);
   return MakeCancellation(job);
 }
@@ -452,8 +481,12 @@
   RelayedRequest::Hooks hooks;
   hooks.choose_target = [this, job](std::string_view service,
                                     std::span<const TargetPtr> tried) {
-    return this->targets.Choose(service, job->allowed_regions, tried,
-                                this->NeedsOf(*job->route));
+    TargetPtr target = this->targets.Choose(service, job->allowed_regions,
+                                            tried, this->NeedsOf(*job->route));
+    const bool late =
+        target != nullptr && this->request_admission.RepliesTooLate(
+                                 *job, *target, *this->WorkOf(*job->route));
+    return late ? nullptr : target;
   };
   hooks.pool_of = [this](const TargetPtr& target) {
     return this->targets.PoolOf(target);
@@ -473,6 +506,9 @@
   const auto relayed = std::make_shared<RelayedRequest>(
       this->context, job->table, std::move(plan), std::move(job->request),
       std::move(hooks));
+  if (this->request_admission.enabled()) {
+    relayed->AllowRefusal();
+  }
   job->cancel = [this, relayed] {
     this->running.erase(relayed);
     relayed->Cancel();
@@ -592,11 +628,18 @@
       latency > job->route->latency_objective) {
     this->LogOutcome(*job, request, result, latency);
   }
-  CallerAnswer answer = this->MakeAnswer(result);
+  this->request_admission.OnEnd(
+      *job, result.kind == FanOutResult::Kind::kMerged &&
+                result.missing_parts <= request.fan_out().AllowedMissing() &&
+                latency <= job->route->latency_objective);
+  CallerAnswer answer = this->MakeAnswer(*job, result);
   if (job->from_peer && result.kind == FanOutResult::Kind::kMerged) {
     answer.head += this->context.codec.encode_bundle_answer(
         job->route->top_records, result.missing_services);
   }
+  if (job->from_peer) {
+    answer.head += this->request_admission.EncodeShares(/*refused=*/false);
+  }
   this->Respond(*job, request.request_id(), std::move(answer));
 }
 
@@ -628,7 +671,8 @@
             {"omitted", omitted}});
 }
 
-CallerAnswer RelayService::MakeAnswer(const FanOutResult& result) {
+CallerAnswer RelayService::MakeAnswer(const RelayJob& job,
+                                      const FanOutResult& result) {
   switch (result.kind) {
     case FanOutResult::Kind::kMerged:
       return {this->context.codec.encode_merged(result), result.records};
@@ -637,16 +681,20 @@
     case FanOutResult::Kind::kRefusal:
       break;
   }
-  return this->MakeFailure(result);
+  return this->MakeFailure(job, result);
 }
 
 // 503 guarantees that the request has not run and will not run; 502 and 504
 // leave it open.
-CallerAnswer RelayService::MakeFailure(const FanOutResult& result) {
+CallerAnswer RelayService::MakeFailure(const RelayJob& job,
+                                       const FanOutResult& result) {
   const ErrorDescription& description = DescribeError(result.error);
   if (result.run == RunState::kNotRun) {
     return MakeRefusal(kStatusUnavailable, description.title, description.name,
-                       result.run, this->RetryAfter());
+                       result.run,
+                       result.error == ErrorKind::kOverloaded
+                           ? this->request_admission.RetryAfter(job, 0)
+                           : this->RetryAfter());
   }
   const int status = result.error == ErrorKind::kDeadlineExceeded
                          ? kStatusGatewayTimeout
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -20,6 +20,7 @@
 #include "src/relay/relay_job.h"
 #include "src/relay/relay_metrics.h"
 #include "src/relay/relayed_request.h"
+#include "src/relay/request_admission.h"
 #include "src/relay/target_table.h"
 
 namespace auburnyard {
@@ -63,6 +64,10 @@
   void SetRevocationCheck(std::function<bool()> check) {
     this->is_revocation_unknown = std::move(check);
   }
+  /// Sets whether requests that cannot be answered in time are refused.
+  void SetAdmissionMode(AdmissionMode mode) {
+    this->request_admission.SetMode(mode);
+  }
   /// Sets how limits of accounts are enforced. Without it they are not.
   void SetAccountAdmission(AccountAdmission admission) {
     this->account_admission = std::move(admission);
@@ -92,7 +97,8 @@
                     const Route& route,
                     const Responder& respond,
                     const ClientAccount*& account);
-  /// Starts the job once its account has room, and refuses it otherwise.
+  /// Refuses a job that cannot be answered in time, starts it once its account
+  /// has room, and refuses it otherwise.
   void Admit(const RelayJobPtr& job);
   void OnAccountDecision(const RelayJobPtr& job,
                          const AccountDecision& decision);
@@ -129,8 +135,8 @@
               std::string_view title,
               std::chrono::milliseconds retry_after,
               const Responder& respond);
-  CallerAnswer MakeAnswer(const FanOutResult& result);
-  CallerAnswer MakeFailure(const FanOutResult& result);
+  CallerAnswer MakeAnswer(const RelayJob& job, const FanOutResult& result);
+  CallerAnswer MakeFailure(const RelayJob& job, const FanOutResult& result);
   void LogOutcome(const RelayJob& job,
                   const RelayedRequest& request,
                   const FanOutResult& result,
@@ -165,6 +171,7 @@
   std::function<bool()> is_outdated = [] { return false; };
   std::function<bool()> is_revocation_unknown = [] { return false; };
   AccountAdmission account_admission;
+  RequestAdmission request_admission;
 };
 
 }  // namespace auburnyard
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -36,6 +36,20 @@
   return accounts;
 }
 
+AdmissionMode ParseAdmission(std::string_view text) {
+  if (text == "automatic") {
+    return AdmissionMode::kAutomatic;
+  }
+  if (text == "always") {
+    return AdmissionMode::kAlways;
+  }
+  if (text == "never") {
+    return AdmissionMode::kNever;
+  }
+  throw Error(ErrorKind::kBadSettings,
+              "admission: expected automatic, always or never");
+}
+
 }  // namespace
 
 RelaySettings ParseRelaySettings(std::string_view text) {
@@ -44,7 +58,8 @@
   const detail::JsonReader reader(document, "", ErrorKind::kBadSettings);
   reader.AllowOnly({"host", "failure_domain", "region", "domain_regions",
                     "listen", "store", "shutdown_time_s", "repeats",
-                    "cold_targets", "accounts", "cores", "log_level"});
+                    "cold_targets", "accounts", "admission", "cores",
+                    "log_level"});
   RelaySettings settings;
   settings.host_name = reader.String("host");
   settings.failure_domain = reader.String("failure_domain");
@@ -93,6 +108,7 @@
   if (reader.Has("accounts")) {
     settings.accounts = ParseAccounts(reader.Child("accounts"));
   }
+  settings.admission = ParseAdmission(reader.String("admission", "automatic"));
   settings.log_level = reader.String("log_level", "info");
   return settings;
 }
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -20,6 +20,13 @@
   std::chrono::milliseconds revocation_limit{0};
 };
 
+/// Whether requests are refused that cannot be answered in time.
+enum class AdmissionMode {
+  kAutomatic,  ///< where targets report their speed
+  kAlways,
+  kNever,
+};
+
 /// Settings of an entry host that relays requests. JSON with comments.
 struct RelaySettings {
   std::string host_name;
@@ -47,6 +54,7 @@
       1;  ///< factor on the configured rate of a cold target
   double cold_rate_margin = 0;  ///< requests per second added to it
   AccountSettings accounts;
+  AdmissionMode admission = AdmissionMode::kAutomatic;
   /// IP:port at which other hosts ask for room of accounts; may be empty.
   std::string accounts_address;
   std::string log_level = "info";
--- a/src/relay/relayed_request.cc
+++ b/src/relay/relayed_request.cc
@@ -91,6 +91,10 @@
       .priority = plan.priority,
       .latency_objective = plan.route->latency_objective,
       .account = this->account};
+  if (this->may_be_refused) {
+    bundle.refusable_missing_parts =
+        static_cast<std::uint32_t>(this->state_machine->AllowedMissing(index));
+  }
   for (const std::uint32_t part : plan.bundles[index].parts) {
     bundle.shards.emplace_back(plan.services[part]);
   }
--- a/src/relay/relayed_request.h
+++ b/src/relay/relayed_request.h
@@ -40,6 +40,8 @@
                  Hooks hooks);
 
   void Start();
+  /// Allows other hosts to refuse bundles for lack of capacity.
+  void AllowRefusal() { this->may_be_refused = true; }
   void Cancel();
   /// Ends the request by `stop`, because the host shuts down.
   void StopBy(TimePoint stop);
@@ -64,6 +66,7 @@
   std::shared_ptr<const RouteTable> table;
   std::shared_ptr<TargetExchange::SharedRequest> shared;
   std::string account;  // of the caller; may be empty
+  bool may_be_refused = false;
   Hooks hooks;
   std::unique_ptr<FanOut> state_machine;
   std::vector<std::vector<Attempt>> attempts;  // by part
--- a/src/relay/target_connection.cc
+++ b/src/relay/target_connection.cc
@@ -180,6 +180,7 @@
   end.reply.part_signatures = end.head.part_signatures;
   end.reply.missing_services = end.head.missing_services;
   end.reply.top_records = end.head.top_records;
+  end.reply.overloaded = end.head.overloaded;
   if (this->current->request->forwards_reply) {
     end.reply.head = this->context.codec.encode_reply(response);
   }
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -276,7 +276,12 @@
   if (!was_cold && this->state->Cold(now) && this->hooks.on_cold) {
     this->hooks.on_cold(this->state);
   }
-  if (end.complete && end.head.refused) {
+  if (!end.head.admission.empty() && this->hooks.on_admission) {
+    this->hooks.on_admission(this->state, end.head.admission);
+  }
+  if (end.complete && end.head.overloaded) {
+    this->state->OnAbandoned(sent_at);  // says nothing about its health
+  } else if (end.complete && end.head.refused) {
     this->state->OnRefused(sent_at, now);
   } else if (!end.complete || end.head.status >= kFirstServerError) {
     this->state->OnFailed(sent_at, now);
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <span>
 #include <vector>
 
 #include "auburnyard/target_state.h"
@@ -22,6 +23,9 @@
     std::function<void(const TargetPtr&)> on_wrong_target;
     /// Called when a reply shows that the target has become cold. May be empty.
     std::function<void(const TargetPtr&)> on_cold;
+    /// Called with the shares that another entry host can answer. May be empty.
+    std::function<void(const TargetPtr&, std::span<const AdmissionShare>)>
+        on_admission;
   };
 
   TargetPool(const RelayContext& context, TargetPtr target, Hooks hooks);
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -325,6 +325,34 @@
   return costs;
 }
 
+std::optional<TargetLoad> TargetTable::BestLoad(
+    std::string_view service) const {
+  std::optional<TargetLoad> best;
+  const auto found = this->by_service.find(service);
+  if (found == this->by_service.end()) {
+    return best;
+  }
+  const TimePoint now = this->context.clock.Now();
+  for (const TargetPtr& target : found->second) {
+    if (!this->MayReceive(*target, {}) || target->Avoided(now)) {
+      continue;
+    }
+    const TargetLoad load = target->Load(now);
+    if (!best || load.Rank() < best->Rank()) {
+      best = load;
+    }
+  }
+  return best;
+}
+
+bool TargetTable::ReportsSpeed(std::string_view service) const {
+  const auto found = this->by_service.find(service);
+  return found != this->by_service.end() &&
+         std::any_of(
+             found->second.begin(), found->second.end(),
+             [](const TargetPtr& target) { return target->ReportsSpeed(); });
+}
+
 double TargetTable::ColdRate(const TargetState& target) const {
   const ServiceLimits* limits =
       this->routes == nullptr ? nullptr
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -71,6 +72,11 @@
   /// Lowest placement cost of the service's targets in each failure domain.
   DomainCosts Costs(std::string_view service,
                     const PlacementNeeds& needs) const;
+  /// Load of the target of the service that would answer first; empty if none
+  /// may receive requests.
+  std::optional<TargetLoad> BestLoad(std::string_view service) const;
+  /// Whether a target of the service reports its speed.
+  bool ReportsSpeed(std::string_view service) const;
   /// Pool of a target that was just chosen.
   std::shared_ptr<TargetPool> PoolOf(const TargetPtr& target) const;
   /// Targets that are registered for the service.
