--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -167,6 +167,7 @@
 }
 
 void RelayHost::Run() {
+  this->service.SetAdmissionMode(this->settings.admission);
   this->service.SetOutdatedCheck([this] { return this->follower.outdated(); });
   this->service.SetRevocationCheck([this] {
     const AccountSettings& accounts = this->settings.accounts;
@@ -279,6 +280,7 @@
   try {
     RelaySettings changed = LoadRelaySettings(this->settings_path);
     this->service.SetBudgetLimits(BudgetLimits(changed));
+    this->service.SetAdmissionMode(changed.admission);
     this->follower.SetChangeLimit(changed.change_limit);
     if (this->quota_server != nullptr &&
         changed.accounts.limit_window > std::chrono::seconds(0)) {
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -116,6 +116,16 @@
       .Set(static_cast<double>(count));
 }
 
+void RelayMetrics::SetAdmittedShare(const RequestKind& kind, double share) {
+  this->all
+      .Gauge("auburnyard_relay_admitted_share",
+             "Share of the requests of a kind that this host admits.",
+             {{"objective_ms", std::to_string(kind.objective.count())},
+              {"records", std::to_string(kind.records)},
+              {"priority", std::to_string(kind.priority)}})
+      .Set(share);
+}
+
 void RelayMetrics::CountStoreCall(std::string_view kind,
                                   StoreCallOutcome outcome) {
   this->all
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -3,6 +3,7 @@
 
 #include <string_view>
 
+#include "auburnyard/admission_control.h"
 #include "auburnyard/fan_out.h"
 #include "auburnyard/loss_cause.h"
 #include "src/net/metrics_registry.h"
@@ -25,6 +26,8 @@
   void CountAccountDecision(std::string_view decision, std::string_view reason);
   /// Sets the number of failure domains whose quota servers are not heard.
   void SetSilentDomains(std::size_t count);
+  /// Sets the share of the requests of a kind that this host can answer.
+  void SetAdmittedShare(const RequestKind& kind, double share);
   void CountStoreCall(std::string_view kind, StoreCallOutcome outcome);
   /// Records the upper bound of the delay of a configuration that came into
   /// force: the age of the data that it replaced.
