--- a/src/core/account_limiter.cc
+++ b/src/core/account_limiter.cc
@@ -148,10 +148,18 @@
 // detected.
 double AccountLimiter::UnconfirmedLimit(const Account& account,
                                         TimePoint now) const {
-  bool confirmed = true;
+  // Without peers that are heard, every server on its own has the minimum.
+  bool confirmed = this->peers.empty();
   for (const auto& [name, peer] : this->peers) {
-    confirmed = confirmed && now - peer.confirmed_at <= kConfirmationAge &&
-                this->IsHeard(peer, now);
+    if (this->IsHeard(peer, now)) {
+      confirmed = true;
+    }
+  }
+  for (const auto& [name, peer] : this->peers) {
+    if (this->IsHeard(peer, now) &&
+        now - peer.confirmed_at > kConfirmationAge) {
+      confirmed = false;
+    }
   }
   const double room = account.level + account.unconfirmed +
                       kUnconfirmedPart * this->Slack(account);
@@ -208,11 +216,16 @@
   }
   const double floor = -(account.limits.rate * Seconds(this->tolerance.window) +
                          account.limits.burst);
-  account.level =
-      std::clamp(account.level, floor, this->Capacity(account, now));
   // Servers that do not hear this one assume that it uses its share.
   account.unconfirmed =
       std::max(0.0, account.unconfirmed - added * this->own_weight);
+  // Unconfirmed requests were taken from the share, in the proportion of the
+  // servers that are not heard: of 12 servers that are all isolated, 165
+  // requests in a window ran otherwise (bound 165.2, 400 requests per second).
+  const double capacity =
+      this->Capacity(account, now) -
+      account.unconfirmed * std::max(0.0, 1 - this->HeardShare(now));
+  account.level = std::max(floor, std::min(account.level, capacity));
   account.updated_at = now;
 }
 
--- a/test/account_limiter_test.cc
+++ b/test/account_limiter_test.cc
@@ -480,75 +480,82 @@
 // Guards against refusals of ordinary traffic: 48 requests per second from 76
 // accounts at 68 hosts, with limits of 1.6 times the usual rate. An equal
 // division between the hosts is simulated for comparison.
+// One server is down for the whole time in the second run.
 BOOST_AUTO_TEST_CASE(OrdinaryTrafficIsSeldomRefused) {
-  constexpr std::size_t kAccounts = 76;
-  constexpr std::size_t kHosts = 68;
-  constexpr double kTotalRate = 48;
-  constexpr double kHeadroom = 1.6;
-  struct HostBucket {
-    double level = 1;
-    TimePoint updated_at{};
-  };
-  QuotaFleet fleet(11);
-  std::vector<double> weights;
-  for (std::size_t i = 0; i < kAccounts; ++i) {
-    weights.push_back(1 / std::pow(static_cast<double>(i + 1), 1.1));
-  }
-  double sum = 0;
-  for (const double weight : weights) {
-    sum += weight;
-  }
-  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
-  std::exponential_distribution<double> gap(kTotalRate);
-  std::vector<AdmittedRequests> admitted(kAccounts);
-  std::map<std::pair<std::size_t, std::size_t>, HostBucket> divided;
-  std::size_t total = 0;
-  std::size_t refused = 0;
-  std::size_t refused_by_division = 0;
-  const TimePoint end = fleet.now + std::chrono::seconds(300);
-  fleet.reports = 0;
-  while (fleet.now < end) {
-    fleet.RunUntil(fleet.now +
-                   std::chrono::duration_cast<Duration>(
-                       std::chrono::duration<double>(gap(fleet.random))));
-    const std::size_t account = pick(fleet.random);
-    const std::size_t host = fleet.random() % kHosts;
-    const double rate = kHeadroom * kTotalRate * weights.at(account) / sum;
-    const AccountLimits limits{.rate = rate, .burst = rate};
-    const auto used =
-        static_cast<double>(admitted.at(account).CountAt(fleet.now));
-    ++total;
-    if (fleet.Ask(host % kDomains, false, std::to_string(account), limits)) {
-      admitted.at(account).Add(fleet.now);
-    } else if (used + 1 <= limits.rate * 5 + limits.burst) {
-      ++refused;
+  for (const bool crashed : {false, true}) {
+    constexpr std::size_t kAccounts = 76;
+    constexpr std::size_t kHosts = 68;
+    constexpr double kTotalRate = 48;
+    constexpr double kHeadroom = 1.6;
+    struct HostBucket {
+      double level = 1;
+      TimePoint updated_at{};
+    };
+    QuotaFleet fleet(11);
+    std::vector<double> weights;
+    for (std::size_t i = 0; i < kAccounts; ++i) {
+      weights.push_back(1 / std::pow(static_cast<double>(i + 1), 1.1));
+    }
+    double sum = 0;
+    for (const double weight : weights) {
+      sum += weight;
     }
-    HostBucket& bucket = divided[{account, host}];
-    if (bucket.updated_at != TimePoint{}) {
-      bucket.level = std::min(
-          std::max(1.0, limits.burst / kHosts),
-          bucket.level +
-              rate / kHosts *
-                  std::chrono::duration<double>(fleet.now - bucket.updated_at)
-                      .count());
+    std::discrete_distribution<std::size_t> pick(weights.begin(),
+                                                 weights.end());
+    std::exponential_distribution<double> gap(kTotalRate);
+    std::vector<AdmittedRequests> admitted(kAccounts);
+    std::map<std::pair<std::size_t, std::size_t>, HostBucket> divided;
+    std::size_t total = 0;
+    std::size_t refused = 0;
+    std::size_t refused_by_division = 0;
+    const TimePoint end = fleet.now + std::chrono::seconds(300);
+    fleet.reports = 0;
+    if (crashed) {
+      fleet.Crash(2);
     }
-    bucket.updated_at = fleet.now;
-    if (bucket.level >= 1) {
-      bucket.level -= 1;
-    } else {
-      ++refused_by_division;
+    while (fleet.now < end) {
+      fleet.RunUntil(fleet.now +
+                     std::chrono::duration_cast<Duration>(
+                         std::chrono::duration<double>(gap(fleet.random))));
+      const std::size_t account = pick(fleet.random);
+      const std::size_t host = fleet.random() % kHosts;
+      const double rate = kHeadroom * kTotalRate * weights.at(account) / sum;
+      const AccountLimits limits{.rate = rate, .burst = rate};
+      const auto used =
+          static_cast<double>(admitted.at(account).CountAt(fleet.now));
+      ++total;
+      if (fleet.Ask(host % kDomains, false, std::to_string(account), limits)) {
+        admitted.at(account).Add(fleet.now);
+      } else if (used + 1 <= limits.rate * 5 + limits.burst) {
+        ++refused;
+      }
+      HostBucket& bucket = divided[{account, host}];
+      if (bucket.updated_at != TimePoint{}) {
+        bucket.level = std::min(
+            std::max(1.0, limits.burst / kHosts),
+            bucket.level +
+                rate / kHosts *
+                    std::chrono::duration<double>(fleet.now - bucket.updated_at)
+                        .count());
+      }
+      bucket.updated_at = fleet.now;
+      if (bucket.level >= 1) {
+        bucket.level -= 1;
+      } else {
+        ++refused_by_division;
+      }
     }
+    const double share =
+        static_cast<double>(refused) / static_cast<double>(total);
+    const double division_share =
+        static_cast<double>(refused_by_division) / static_cast<double>(total);
+    BOOST_TEST_MESSAGE("requests " << total << ", refused below the limit "
+                                   << share << ", by equal division "
+                                   << division_share << ", reports per second "
+                                   << fleet.reports / 300);
+    BOOST_TEST(share < 0.01);
+    BOOST_TEST(share < division_share);
   }
-  const double share =
-      static_cast<double>(refused) / static_cast<double>(total);
-  const double division_share =
-      static_cast<double>(refused_by_division) / static_cast<double>(total);
-  BOOST_TEST_MESSAGE("requests " << total << ", refused below the limit "
-                                 << share << ", by equal division "
-                                 << division_share << ", reports per second "
-                                 << fleet.reports / 300);
-  BOOST_TEST(share < 0.01);
-  BOOST_TEST(share < division_share);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
