Test what a restored store holds back

Cause: the tests did not cover targets and evacuations, and the mirror in MirrorOfAnOlderEpochIsLeft had no keys, so the test passed without the check that it guards.

Change: the restored store also lacks a target and an evacuation; the mirror has the keys of the store.

--- a/test/store_follower_test.cc
+++ b/test/store_follower_test.cc
@@ -284,12 +284,22 @@
              ToMilliseconds(fixture.change_limit));
 }
 
-// Guards against a configuration, an evacuation or a host that is lost because
-// the store returned to an older copy, and against changes that are missed
-// afterwards because their revisions were assigned before.
+// Guards against a configuration, an evacuation, a target or a host that is
+// lost because the store returned to an older copy, and against changes that
+// are missed afterwards because their revisions were assigned before.
 BOOST_AUTO_TEST_CASE(RestoredStoreRevertsNothingInForce) {
   FollowerFixture fixture;
+  const auto registration = [](int port) {
+    return R"({"service":"s","address":"127.0.0.1:)" + std::to_string(port) +
+           R"(","zone":"d2","version":"v1","slots":2,"state":"ready",)"
+           R"("warmup_left_ms":0,"seq_num":1})";
+  };
+  const auto evacuated = [&fixture] {
+    return fixture.targets.Choose("s", {}, {}, {}) == nullptr;
+  };
+  fixture.store.Put("servers/kept", registration(81));
   fixture.store.SaveCopy();
+  fixture.store.Put("servers/lost", registration(82));
   fixture.store.Put("op/config", std::string(kNewerRoutes));
   fixture.store.Put("op/evacuate/d2", "{}");
   fixture.store.Put("hosts/other", HostValue("", 1));
@@ -304,34 +314,46 @@
   BOOST_TEST(fixture.Eventually(
       [&fixture] { return fixture.hosts.RegisteredHosts().size() == 2; }));
   BOOST_TEST(fixture.service.routes()->version() == 4U);
+  BOOST_TEST(fixture.targets.size() == 2U);
+  BOOST_TEST(evacuated());
   // After the grace period, what was not written again is removed.
   fixture.clock.Advance(std::chrono::seconds(10));
   BOOST_TEST(fixture.Eventually([&fixture] {
     fixture.follower->Sweep();
+    fixture.targets.Sweep();
     return fixture.hosts.RegisteredHosts().size() == 1;
   }));
   BOOST_TEST(fixture.service.routes()->version() == 4U);
+  BOOST_TEST(fixture.targets.size() == 1U);
+  BOOST_TEST(!evacuated());
   fixture.store.WriteAgain();
   BOOST_TEST(fixture.Eventually(
       [&fixture] { return fixture.hosts.RegisteredHosts().size() == 2; }));
+  BOOST_TEST(fixture.targets.size() == 2U);
+  BOOST_TEST(evacuated());
 }
 
 // Guards against a host that stays with a mirror of an older epoch, or that
 // takes over its data, after it has seen the newer one elsewhere.
 BOOST_AUTO_TEST_CASE(MirrorOfAnOlderEpochIsLeft) {
   FollowerFixture fixture(/*pause_clock=*/false);
-  for (const std::string_view name : {"a", "b", "c", "h1"}) {
-    fixture.store.Put("hosts/" + std::string(name), HostValue("", 1));
-  }
   StoreMirror data;
   MirrorServer followed(fixture.context, fixture.store_codec, data);
   followed.Listen("127.0.0.1:0");
   followed.SetDirect(true);
-  fixture.store.Put(
-      "hosts/mirror",
-      HostValue("127.0.0.1:" + std::to_string(followed.port()), 4));
+  std::vector<StoreItem> items = {
+      {.key = "hosts/mirror",
+       .value = HostValue("127.0.0.1:" + std::to_string(followed.port()), 4)}};
+  for (const std::string_view name : {"a", "b", "c", "h1"}) {
+    items.push_back(
+        {.key = "hosts/" + std::string(name), .value = HostValue("", 1)});
+  }
+  for (StoreItem& item : items) {
+    fixture.store.Put(item.key, item.value);
+    item.revision = 1;
+  }
   fixture.store.SaveCopy();
-  data.Advance(1);
+  data.Reset(items, {.revision = 1});
   BOOST_REQUIRE(fixture.Eventually([&] {
     followed.SetUpToDateAt(fixture.clock.Now());
     followed.Sweep();
