--- a/test/overload_simulation.cc
+++ b/test/overload_simulation.cc
@@ -509,8 +509,6 @@
       static_cast<double>(kShards) - static_cast<double>(query->missing);
   if (query->refused_bundles == 2) {
     this->Refuse(query, kRefusedShare);
-  } else if (query->refused_bundles > 0) {
-    this->Count(*query, &QueryCounts::lost);
   } else if (present < kind.min_coverage * static_cast<double>(kShards)) {
     this->Count(*query, &QueryCounts::lost);
   } else if (this->now <= query->first_arrival + kind.objective) {
