--- a/test/overload_test.cc
+++ b/test/overload_test.cc
@@ -81,8 +81,9 @@
   const QueryCounts& long_kind = simulation.counts(0);
   const QueryCounts& urgent = simulation.counts(1);
   // A query waits for the slowest of 26 slow shards, so that their slots cannot
-  // be busy all the time. At best 0.69 of the ceiling was in time, at a constant
-  // load of 1.6 times the usual one; eight other seeds give 0.48 to 0.62.
+  // be busy all the time. At best 0.69 of the ceiling was in time, at a
+  // constant load of 1.6 times the usual one; eight other seeds give 0.48 to
+  // 0.62.
   BOOST_TEST(InTimePerSecond(simulation) > 0.45 * Ceiling());
   BOOST_TEST(InTime(urgent) >= InTime(long_kind));
   BOOST_TEST(long_kind.Share(long_kind.lost) < 0.15);
