--- a/test/target_capacity_test.cc
+++ b/test/target_capacity_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <vector>
 
@@ -160,6 +161,38 @@
   }
 }
 
+// Guards against requests that move to and fro between targets. Load: demand
+// with a period of 13 s and a swing of 0.55; speeds that change each 500 ms.
+BOOST_AUTO_TEST_CASE(DemandWaveCausesNoOscillation) {
+  LoadOptions options = QuietDay(0.4);
+  options.wave_swing = 0.55;
+  options.speed = ChangingSpeed;
+  options.reports_speed = true;
+  LoadSimulation simulation(options);
+  simulation.Run();
+  // Requests in two seconds, over which changes of speed average out, at the
+  // near and the far target of a service: neither is left out by all hosts, and
+  // none gets more than its share and a bound.
+  double highest = 0;
+  double lowest = 1;
+  for (std::size_t service = 0; service < options.services; ++service) {
+    const auto& left = simulation.received(2 * service);
+    const auto& right = simulation.received(2 * service + 1);
+    for (std::size_t i = 4; i + 4 <= std::min(left.size(), right.size());
+         i += 4) {
+      const auto sum = [i](const std::vector<std::size_t>& counts) {
+        return static_cast<double>(counts[i] + counts[i + 1] + counts[i + 2] +
+                                   counts[i + 3]);
+      };
+      const double share = sum(left) / (sum(left) + sum(right));
+      highest = std::max({highest, share, 1 - share});
+      lowest = std::min({lowest, share, 1 - share});
+    }
+  }
+  BOOST_TEST_MESSAGE("shares of a target: " << lowest << " to " << highest);
+  BOOST_TEST(highest < 0.85);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
