Charge the usage of a returning quota server once

Change: a host that becomes a quota server starts with new totals and adopts the levels of others; servers that have left are remembered with their totals.

--- a/src/core/account_limiter.cc
+++ b/src/core/account_limiter.cc
@@ -68,17 +68,18 @@
     present.insert(other.name);
     Peer& peer = this->peers[other.name];
     peer.failure_domain = other.failure_domain;
-    peer.removed_at = TimePoint::max();
+    if (std::exchange(peer.removed_at, TimePoint::max()) != TimePoint::max()) {
+      peer.has_left = false;
+    }
   }
-  for (auto it = this->peers.begin(); it != this->peers.end();) {
-    Peer& peer = it->second;
-    if (present.contains(it->first)) {
-      ++it;
+  // Peers are kept, so that the usage of one that returns is not charged again.
+  for (auto& [name, peer] : this->peers) {
+    if (present.contains(name)) {
       continue;
     }
     peer.removed_at = std::min(peer.removed_at, now);
-    it = now - peer.removed_at > kRemovedPeerRetention ? this->peers.erase(it)
-                                                       : std::next(it);
+    peer.has_left =
+        peer.has_left || now - peer.removed_at > kRemovedPeerRetention;
   }
   this->ComputeWeights(now);
 }
--- a/src/relay/quota_server.cc
+++ b/src/relay/quota_server.cc
@@ -35,15 +35,16 @@
                          const HostTable& host_table,
                          RelayMetrics& relay_metrics,
                          QuotaPeer own,
-                         LimitTolerance tolerance,
+                         LimitTolerance limit_tolerance,
                          std::size_t domains)
     : context(relay_context),
       hosts(host_table),
       metrics(relay_metrics),
-      self(own),
+      self(std::move(own)),
+      tolerance(limit_tolerance),
       min_domains(domains),
-      limiter(std::move(own),
-              tolerance,
+      limiter(this->self,
+              this->tolerance,
               NewEpoch(),
               relay_context.clock.Now()) {}
 
@@ -160,6 +161,11 @@
   LogEvent(spdlog::level::info, "quota_server_changed",
            {{"active", active}, {"peers", this->receivers.size()}});
   this->announces_departure = !active;
+  if (active) {
+    // While it was not a quota server, this host received no reports.
+    this->limiter = AccountLimiter(this->self, this->tolerance, NewEpoch(),
+                                   this->context.clock.Now());
+  }
   for (auto& [name, receiver] : this->receivers) {
     receiver.knows_departure = false;
   }
--- a/src/relay/quota_server.h
+++ b/src/relay/quota_server.h
@@ -32,6 +32,7 @@
   void Listen(const std::string& address);
   std::uint16_t port() const { return this->server->port(); }
   void SetTolerance(LimitTolerance changed) {
+    this->tolerance = changed;
     this->limiter.SetTolerance(changed);
   }
   /// Whether this host is one of the quota servers of its domain.
@@ -67,6 +68,7 @@
   const HostTable& hosts;
   RelayMetrics& metrics;
   QuotaPeer self;
+  LimitTolerance tolerance;
   std::size_t min_domains;
   AccountLimiter limiter;
   std::shared_ptr<HttpServer> server;
