Carry out rollout orders of the store

Cause: op/rollout/ was ignored, and new targets got requests as soon as they were registered. Change: the platform's codec reads orders, states, stages and reports; TargetTable chooses by version; RolloutWriter writes with conditions on the revisions; settings `rollouts`, metrics and log lines. The store stand-in honors conditions and removals. No run of processes with an order yet.

--- a/include/auburnyard/target_entry.h
+++ b/include/auburnyard/target_entry.h
@@ -18,6 +18,7 @@
   std::chrono::milliseconds remaining_warm_up{0};
   std::int64_t started_at_ms = 0;  ///< Unix time of its start; 0: unknown
   std::uint64_t sequence = 0;  ///< number of its latest report since its start
+  std::string version;         ///< of the software or data that it serves
 
   bool operator==(const TargetEntry&) const = default;
 };
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -39,6 +39,27 @@
           .window = settings.repeat_window};
 }
 
+void LogRollout(const RolloutEvent& event) {
+  const EvidenceSummary& evidence = event.verdict.evidence;
+  LogEvent(
+      event.name == "rollout_bad" ? spdlog::level::warn : spdlog::level::info,
+      event.name,
+      {{"service", event.service},
+       {"target_version", event.target_version},
+       {"stage", ToString(event.stage)},
+       {"reason", event.verdict.reason},
+       {"request_kind", event.verdict.request_kind},
+       {"answers", evidence.answers},
+       {"failures", evidence.failures},
+       {"slow", evidence.slow},
+       {"old_answers", evidence.old_answers},
+       {"old_bad", evidence.old_bad},
+       {"probability", evidence.probability},
+       {"own_requests", event.counts.all},
+       {"own_exposed", event.counts.exposed},
+       {"elapsed_ms", event.elapsed_ms}});
+}
+
 }  // namespace
 
 RelayHost::RelayHost(RelaySettings host_settings,
@@ -48,6 +69,7 @@
       settings_path(std::move(path)),
       adapter(std::move(host_adapter)),
       context{this->io, this->clock, this->adapter.codec},
+      rollouts(this->settings.host_name, this->hosts),
       targets(this->context,
               {this->settings.failure_domain, this->settings.region},
               this->settings.domain_regions,
@@ -117,6 +139,9 @@
           this->metrics.SetStoreState(this->follower.age(),
                                       routes == nullptr ? 0 : routes->version(),
                                       this->follower.revision());
+          if (this->rollouts.enabled()) {
+            this->metrics.SetRollouts(this->rollouts.CountStates());
+          }
           respond({.body = this->metrics.Render(),
                    .content_type = std::string(MetricsRegistry::kContentType)});
         });
@@ -132,6 +157,7 @@
     return accounts.revoke_on_partition &&
            this->follower.age() > accounts.revocation_limit;
   });
+  this->StartRollouts();
   // A write to a connection that the peer closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   LogEvent(spdlog::level::info, "host_started",
@@ -206,6 +232,30 @@
   this->registration->Start();
 }
 
+void RelayHost::StartRollouts() {
+  this->rollouts.SetLimits(this->settings.rollouts);
+  this->rollouts.SetHooks({.on_change =
+                               [this](std::string_view changed) {
+                                 this->targets.UpdateVersions(changed);
+                               },
+                           .on_event = LogRollout});
+  this->targets.SetRollouts(this->rollouts,
+                            [this] { return !this->follower.outdated(); });
+  this->follower.SetRollouts(this->rollouts);
+  RolloutWriter::Hooks writer_hooks;
+  writer_hooks.on_call = [this](std::string_view kind,
+                                StoreCallOutcome outcome) {
+    this->metrics.CountStoreCall(kind, outcome);
+  };
+  writer_hooks.targets = [this](std::string_view requested) {
+    return this->targets.TargetsOf(requested);
+  };
+  this->rollout_writer = std::make_shared<RolloutWriter>(
+      this->context, this->adapter.store, this->adapter.schema,
+      ParseHostPort(this->settings.store_address), this->rollouts,
+      std::move(writer_hooks));
+}
+
 void RelayHost::WaitForSignal() {
   this->signals.async_wait([this](boost::system::error_code error, int number) {
     if (error) {
@@ -255,6 +305,10 @@
   this->service.Sweep();
   this->follower.Sweep();
   this->UpdateRegistration();
+  // The order of a host that leaves is not waited for by the others.
+  if (!this->draining()) {
+    this->rollout_writer->Sweep();
+  }
   this->UpdateBurstDivision();
   this->peers.Sweep();
   this->callers.Sweep();
--- a/src/relay/relay_host.h
+++ b/src/relay/relay_host.h
@@ -13,6 +13,7 @@
 #include "src/net/http_server.h"
 #include "src/relay/caller_server.h"
 #include "src/relay/relay_settings.h"
+#include "src/relay/rollout_writer.h"
 #include "src/relay/store_follower.h"
 #include "src/relay/store_registration.h"
 
@@ -44,6 +45,7 @@
   /// Registers this host in the store once other hosts need its address.
   void UpdateRegistration();
   void Register();
+  void StartRollouts();
   void WaitForSignal();
   void OnTerminate();
   void OnReload();
@@ -61,6 +63,7 @@
   RelayContext context;
   RelayMetrics metrics;
   HostTable hosts;
+  RolloutTable rollouts;
   TargetTable targets;
   PeerTable peers;
   RelayService service;
@@ -69,6 +72,7 @@
   CallerServer peer_server;
   RegistrationChoice registration_choice;
   std::shared_ptr<StoreRegistration> registration;
+  std::shared_ptr<RolloutWriter> rollout_writer;
   std::shared_ptr<HttpServer> readiness;
   std::shared_ptr<HttpServer> metrics_server;
   boost::asio::signal_set signals;
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -1,5 +1,7 @@
 #include "src/relay/relay_metrics.h"
 
+#include "auburnyard/rollout.h"
+
 namespace auburnyard {
 
 namespace {
@@ -95,6 +97,16 @@
   this->revision.Set(static_cast<double>(known));
 }
 
+void RelayMetrics::SetRollouts(const std::array<std::size_t, 3>& by_state) {
+  for (std::size_t i = 0; i < by_state.size(); ++i) {
+    this->all
+        .Gauge("auburnyard_relay_rollouts",
+               "Services by state of their rollout.",
+               {{"state", std::string(ToString(static_cast<RolloutState>(i)))}})
+        .Set(static_cast<double>(by_state.at(i)));
+  }
+}
+
 void RelayMetrics::ObserveConfigurationDelay(Duration age) {
   this->configuration_delay.Observe(age);
 }
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNYARD_SRC_RELAY_RELAY_METRICS_H_
 #define AUBURNYARD_SRC_RELAY_RELAY_METRICS_H_
 
+#include <array>
 #include <string_view>
 
 #include "auburnyard/fan_out.h"
@@ -31,6 +32,8 @@
   void SetStoreState(Duration age,
                      std::uint64_t version,
                      std::uint64_t revision);
+  /// Sets the number of services by state of their rollout.
+  void SetRollouts(const std::array<std::size_t, 3>& by_state);
   std::string Render() const { return this->all.Render(); }
 
  private:
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -36,6 +36,16 @@
   return accounts;
 }
 
+RolloutLimits ParseRollouts(const detail::JsonReader& reader) {
+  reader.AllowOnly({"exposure_share", "exposure_margin", "rollback_ms"});
+  RolloutLimits limits;
+  limits.exposure_share = reader.Number("exposure_share", 0, 1, 0);
+  limits.exposure_margin = reader.Number("exposure_margin", 0, kMaxBurst, 0);
+  limits.rollback_time = std::chrono::milliseconds(
+      reader.Integer("rollback_ms", 0, kMaxSeconds * 1'000, 0));
+  return limits;
+}
+
 }  // namespace
 
 RelaySettings ParseRelaySettings(std::string_view text) {
@@ -44,7 +54,8 @@
   const detail::JsonReader reader(document, "", ErrorKind::kBadSettings);
   reader.AllowOnly({"host", "failure_domain", "region", "domain_regions",
                     "listen", "store", "shutdown_time_s", "repeats",
-                    "cold_targets", "accounts", "cores", "log_level"});
+                    "cold_targets", "accounts", "rollouts", "cores",
+                    "log_level"});
   RelaySettings settings;
   settings.host_name = reader.String("host");
   settings.failure_domain = reader.String("failure_domain");
@@ -93,6 +104,9 @@
   if (reader.Has("accounts")) {
     settings.accounts = ParseAccounts(reader.Child("accounts"));
   }
+  if (reader.Has("rollouts")) {
+    settings.rollouts = ParseRollouts(reader.Child("rollouts"));
+  }
   settings.log_level = reader.String("log_level", "info");
   return settings;
 }
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "auburnyard/rollout.h"
+
 namespace auburnyard {
 
 /// Handling of client accounts, where the configuration has some.
@@ -47,6 +49,8 @@
       1;  ///< factor on the configured rate of a cold target
   double cold_rate_margin = 0;  ///< requests per second added to it
   AccountSettings accounts;
+  /// Without it, orders to move services to other versions have no effect.
+  RolloutLimits rollouts;
   /// IP:port at which other hosts ask for room of accounts; may be empty.
   std::string accounts_address;
   std::string log_level = "info";
--- a/src/relay/relayed_request.cc
+++ b/src/relay/relayed_request.cc
@@ -5,6 +5,17 @@
 
 namespace auburnyard {
 
+namespace {
+
+// The route of a bundle has another name than that of the caller's request.
+std::string KindOf(const Route& route) {
+  return std::to_string(route.latency_objective.count()) + "/" +
+         std::to_string(route.top_records) +
+         (route.fans_out() ? "" : "/" + route.name);
+}
+
+}  // namespace
+
 RelayedRequest::RelayedRequest(const RelayContext& relay_context,
                                std::shared_ptr<const RouteTable> route_table,
                                FanOutPlan plan,
@@ -30,6 +41,7 @@
   this->shared->arrival = plan.arrival;
   this->shared->deadline = plan.deadline;
   this->shared->work = plan.work;
+  this->shared->kind = KindOf(*plan.route);
   this->state_machine =
       std::make_unique<FanOut>(std::move(plan), this->MakeFanOutHooks());
 }
--- a/src/relay/store_change.h
+++ b/src/relay/store_change.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "auburnyard/host_entry.h"
+#include "auburnyard/rollout_table.h"
 #include "auburnyard/route_table.h"
 #include "auburnyard/target_entry.h"
 #include "src/relay/store_codec.h"
@@ -32,6 +33,14 @@
 struct HostUnregistered {
   std::string name;
 };
+/// The order of the service is gone (revision 0) or cannot be decoded.
+struct RolloutWithdrawn {
+  std::string service;
+  std::uint64_t revision = 0;
+};
+struct RolloutStageRemoved {
+  std::string service;
+};
 /// A key without meaning for the relay.
 struct UnrelatedKey {};
 
@@ -41,7 +50,13 @@
                                  TargetRegistered,
                                  TargetUnregistered,
                                  HostRegistered,
-                                 HostUnregistered>;
+                                 HostUnregistered,
+                                 RolloutOrder,
+                                 RolloutWithdrawn,
+                                 RolloutStatus,
+                                 RolloutStageRecord,
+                                 RolloutStageRemoved,
+                                 RolloutReport>;
 
 /// Maps keys of the store to changes. Supplied by the adapter of the
 /// deployment.
@@ -54,6 +69,7 @@
   std::function<std::string(const StoreItem& item)> target_id;
   /// Key and value of a host's own registration.
   std::function<StoreItem(const HostEntry& entry)> encode_host;
+  std::function<StoreTransaction(const RolloutWrite& write)> encode_rollout;
 };
 
 }  // namespace auburnyard
--- a/src/relay/store_codec.h
+++ b/src/relay/store_codec.h
@@ -40,6 +40,22 @@
   std::chrono::milliseconds wait{0};  ///< for a change
 };
 
+/// Changes of several keys that take effect together, and only while the keys
+/// of `expected` have these revisions (0: the key does not exist).
+struct StoreTransaction {
+  struct Expected {
+    std::string key;
+    std::uint64_t revision = 0;
+  };
+  struct Put {
+    std::string key;
+    std::string value;
+  };
+  std::vector<Expected> expected;
+  std::vector<Put> puts;
+  std::vector<std::string> removed;
+};
+
 /// Calls to the store and their responses. Supplied by the adapter of the
 /// deployment. The decoders throw Error(kProtocol).
 struct StoreCodec {
@@ -66,6 +82,10 @@
                          std::string_view value,
                          std::uint64_t lease)>
       encode_put;
+  std::function<HttpCall(const StoreTransaction& transaction)>
+      encode_transaction;
+  /// A condition of the transaction was not met.
+  std::function<bool(const HttpResponse& response)> conflict;
   /// The store no longer has the history that the watch needs.
   std::function<bool(const HttpResponse& response)> history_lost;
   /// Decodes a range or watch call of another host to this host's mirror.
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -333,6 +333,29 @@
        {"replaced_age_ms", origin.age ? ToMilliseconds(*origin.age) : -1.0}});
 }
 
+bool StoreFollower::ApplyRollout(const StoreChange& change) {
+  const TimePoint now = this->clock.Now();
+  if (this->rollouts == nullptr) {
+    return false;
+  }
+  if (const auto* order = std::get_if<RolloutOrder>(&change)) {
+    this->rollouts->OnOrder(*order, now);
+  } else if (const auto* withdrawn = std::get_if<RolloutWithdrawn>(&change)) {
+    this->rollouts->OnWithdrawn(withdrawn->service, withdrawn->revision, now);
+  } else if (const auto* status = std::get_if<RolloutStatus>(&change)) {
+    this->rollouts->OnStatus(*status, now);
+  } else if (const auto* stage = std::get_if<RolloutStageRecord>(&change)) {
+    this->rollouts->OnStage(*stage, now);
+  } else if (const auto* ended = std::get_if<RolloutStageRemoved>(&change)) {
+    this->rollouts->OnStageRemoved(ended->service);
+  } else if (const auto* report = std::get_if<RolloutReport>(&change)) {
+    this->rollouts->OnReport(*report, now);
+  } else {
+    return false;
+  }
+  return true;
+}
+
 bool StoreFollower::Apply(const StoreItem& item, const PageOrigin& origin) {
   const StoreChange change = this->Decode(item);
   if (const auto* routes = std::get_if<RoutesChanged>(&change)) {
@@ -347,6 +370,8 @@
     this->hosts.Upsert(host->entry);
   } else if (const auto* left = std::get_if<HostUnregistered>(&change)) {
     this->hosts.Remove(left->name, this->clock.Now());
+  } else {
+    this->ApplyRollout(change);
   }
   return true;
 }
@@ -368,6 +393,7 @@
   std::set<std::string, std::less<>> evacuated;
   std::vector<TargetEntry> registered_targets;
   std::vector<HostEntry> registered_hosts;
+  std::set<std::string, std::less<>> ordered;
   for (const StoreItem& item : page.items) {
     const StoreChange change = this->Decode(item);
     if (const auto* routes = std::get_if<RoutesChanged>(&change)) {
@@ -378,8 +404,17 @@
       registered_targets.push_back(target->entry);
     } else if (const auto* host = std::get_if<HostRegistered>(&change)) {
       registered_hosts.push_back(host->entry);
+    } else if (this->ApplyRollout(change)) {
+      if (const auto* order = std::get_if<RolloutOrder>(&change)) {
+        ordered.insert(order->service);
+      } else if (const auto* bad = std::get_if<RolloutWithdrawn>(&change)) {
+        ordered.insert(bad->service);
+      }
     }
   }
+  if (this->rollouts != nullptr) {
+    this->rollouts->RetainOrders(ordered, this->clock.Now());
+  }
   this->targets.ResetEvacuated(evacuated);
   this->hosts.Reset(registered_hosts, this->clock.Now());
   this->targets.Reset(registered_targets);
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -44,6 +44,9 @@
                 HostTable& hosts,
                 RelayMetrics& metrics);
 
+  /// Passes orders and results of rollouts to the table. Without it they have
+  /// no effect.
+  void SetRollouts(RolloutTable& table) { this->rollouts = &table; }
   void Start();
   void Stop();
   /// Serves this host's copy of the store to other hosts. Throws
@@ -94,6 +97,8 @@
   MirrorReader::Hooks ReaderHooks();
   /// Returns whether hosts that follow this one must be notified.
   bool Apply(const StoreItem& item, const PageOrigin& origin);
+  /// Returns whether the change concerns a rollout.
+  bool ApplyRollout(const StoreChange& change);
   void PutInForce(const RoutesChanged& routes,
                   const StoreItem& item,
                   const PageOrigin& origin);
@@ -107,6 +112,7 @@
   TargetTable& targets;
   HostTable& hosts;
   RelayMetrics& metrics;
+  RolloutTable* rollouts = nullptr;
   StoreMirror mirror;
   MirrorServer mirror_server;
   MirrorChoice choice;
--- a/src/relay/target_exchange.h
+++ b/src/relay/target_exchange.h
@@ -27,6 +27,9 @@
     TimePoint stop = TimePoint::max();
     /// Estimate for the kind of request; null for bundles.
     std::shared_ptr<WorkEstimate> work;
+    /// Requests with the same objective and number of records are of one kind,
+    /// also on other hosts.
+    std::string kind;
     /// Time at which the answer of another entry host is needed; max: at the
     /// deadline.
     TimePoint answer_by = TimePoint::max();
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -24,6 +24,7 @@
 // An exchange is given up this long after its deadline.
 constexpr milliseconds kDeadlineGrace{350};
 constexpr int kFirstServerError = 500;
+constexpr int kFirstFinalStatus = 200;
 // Time to read the request and to write the reply of a bundle, on both hosts.
 constexpr milliseconds kBundleHandling{8};
 // Minimum time given to another entry host for its answer.
@@ -228,6 +229,9 @@
   const std::shared_ptr<WorkEstimate> estimate = work->request->work;
   connection->Send(std::move(work), std::move(head));
   this->state->OnSent(connection->sent_at(), estimate.get());
+  if (this->hooks.on_sent) {
+    this->hooks.on_sent(this->state);
+  }
 }
 
 void TargetPool::OnConnected(const TargetConnectionPtr& connection,
@@ -284,6 +288,12 @@
     this->state->OnReply(sent_at, now, exchange->request->work.get());
     this->preconnect_delay = {};
   }
+  if (!(end.complete && end.head.refused)) {
+    const bool success = end.complete && !end.head.encoded_body &&
+                         end.head.status >= kFirstFinalStatus &&
+                         end.head.status < kFirstServerError;
+    this->ReportAnswer(*exchange, success, now - sent_at);
+  }
   if (!connection->open() || this->is_retired) {
     connection->Close();
     this->Remove(connection);
@@ -301,6 +311,15 @@
   this->DispatchWaiting();
 }
 
+void TargetPool::ReportAnswer(const TargetExchange& exchange,
+                              bool success,
+                              Duration latency) const {
+  if (this->hooks.on_answer) {
+    this->hooks.on_answer(this->state, exchange.request->kind, success,
+                          latency);
+  }
+}
+
 void TargetPool::Remove(const TargetConnectionPtr& connection) {
   std::erase(this->all, connection);
 }
@@ -310,6 +329,12 @@
 void TargetPool::CountLateExchange(const TargetConnection& connection,
                                    bool lingered,
                                    TimePoint now) {
+  // After an abandoned exchange it is not known how much later the reply would
+  // have come. It was later than usual, because it was repeated or not awaited.
+  const TimePoint replied =
+      std::max(now, connection.exchange()->request->deadline);
+  this->ReportAnswer(*connection.exchange(), lingered,
+                     replied - connection.sent_at());
   const TimePoint due = connection.exchange()->request->answer_by;
   if (due != TimePoint::max() && now > due + kLateAnswerMargin) {
     this->state->OnAbandoned(connection.sent_at());
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -22,6 +22,15 @@
     std::function<void(const TargetPtr&)> on_wrong_target;
     /// Called when a reply shows that the target has become cold. May be empty.
     std::function<void(const TargetPtr&)> on_cold;
+    /// Called when a request is sent. May be empty.
+    std::function<void(const TargetPtr&)> on_sent;
+    /// Called when a request that was sent ends after `latency`, except if the
+    /// target refused it. May be empty.
+    std::function<void(const TargetPtr&,
+                       std::string_view kind,
+                       bool success,
+                       Duration latency)>
+        on_answer;
   };
 
   TargetPool(const RelayContext& context, TargetPtr target, Hooks hooks);
@@ -80,6 +89,9 @@
   void OnConnected(const TargetConnectionPtr& connection, bool success);
   void OnEnd(const TargetConnectionPtr& connection, ExchangeEnd end);
   void Remove(const TargetConnectionPtr& connection);
+  void ReportAnswer(const TargetExchange& exchange,
+                    bool success,
+                    Duration latency) const;
   void CountLateExchange(const TargetConnection& connection,
                          bool lingered,
                          TimePoint now);
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -93,6 +93,9 @@
                            std::chrono::abs(shift) > kWarmUpTolerance;
   const bool was_cold = state.Cold(now);
   state.SetEntry(entry);
+  if (entry.draining != known.draining || entry.version != known.version) {
+    this->UpdateVersions(entry.service);
+  }
   if (entry.remaining_warm_up > milliseconds(0)) {
     state.SetColdUntil(cold_until);
   }
@@ -126,12 +129,22 @@
       this->OnCold(*found->second);
     }
   };
+  hooks.on_sent = [this](const TargetPtr& target) {
+    if (this->rollouts != nullptr) {
+      this->rollouts->OnSent(target->entry().service);
+    }
+  };
+  hooks.on_answer = [this](const TargetPtr& target, std::string_view kind,
+                           bool success, Duration latency) {
+    this->RecordAnswer(*target, kind, success, latency);
+  };
   auto pool =
       std::make_shared<TargetPool>(this->context, state, std::move(hooks));
   this->ApplyLimits(*pool);
   this->UpdateAdmission(*pool);
   this->pools[entry.id] = pool;
   this->by_service[entry.service].push_back(state);
+  this->UpdateVersions(entry.service);
   LogEvent(spdlog::level::info, "target_added",
            {{"target", entry.id},
             {"service", entry.service},
@@ -145,7 +158,8 @@
     return;
   }
   const PoolPtr pool = found->second;
-  auto list = this->by_service.find(pool->target()->entry().service);
+  const std::string service = pool->target()->entry().service;
+  auto list = this->by_service.find(service);
   std::erase(list->second, pool->target());
   if (list->second.empty()) {
     this->by_service.erase(list);
@@ -154,6 +168,7 @@
   this->pools.erase(found);
   this->retired.push_back(pool);
   pool->Retire();
+  this->UpdateVersions(service);
 }
 
 void TargetTable::Remove(std::string_view id) {
@@ -205,6 +220,83 @@
   this->UpdateAdmissions();
 }
 
+void TargetTable::SetRollouts(RolloutTable& table,
+                              std::function<bool()> has_contact) {
+  this->rollouts = &table;
+  this->in_contact = std::move(has_contact);
+}
+
+const VersionRoles& TargetTable::RolesOf(std::string_view service) const {
+  static const VersionRoles kAlike;
+  const auto found = this->roles.find(service);
+  return found == this->roles.end() ? kAlike : found->second;
+}
+
+void TargetTable::UpdateVersions(std::string_view service) {
+  if (this->rollouts == nullptr || !this->rollouts->enabled()) {
+    return;
+  }
+  const auto found = this->by_service.find(service);
+  if (found == this->by_service.end()) {
+    this->roles.erase(std::string(service));
+    return;
+  }
+  std::vector<TargetVersion> versions;
+  versions.reserve(found->second.size());
+  for (const TargetPtr& target : found->second) {
+    const TargetEntry& entry = target->entry();
+    versions.push_back({.version = entry.version,
+                        .started_at_ms = entry.started_at_ms,
+                        .draining = entry.draining});
+  }
+  this->roles[std::string(service)] =
+      VersionRoles(this->rollouts->PolicyOf(service), versions);
+  const std::vector<TargetPtr> targets = found->second;
+  for (const TargetPtr& target : targets) {
+    const auto pool = this->pools.find(target->entry().id);
+    if (pool != this->pools.end()) {
+      this->UpdateAdmission(*pool->second);
+    }
+  }
+}
+
+RolloutTargets TargetTable::TargetsOf(std::string_view service) const {
+  const VersionRoles& versions = this->RolesOf(service);
+  return {.has_new = versions.has_new(), .has_old = versions.has_old()};
+}
+
+// The network is not part of the time at the target, and a cold target is
+// slower than it will be.
+void TargetTable::RecordAnswer(const TargetState& target,
+                               std::string_view kind,
+                               bool success,
+                               Duration latency) {
+  const TargetEntry& entry = target.entry();
+  KindEvidence* evidence =
+      this->rollouts == nullptr
+          ? nullptr
+          : this->rollouts->EvidenceOf(entry.service, kind);
+  const VersionRole role = this->RolesOf(entry.service).RoleOf(entry.version);
+  VersionEvidence* counted = nullptr;
+  if (evidence != nullptr && role != VersionRole::kHeldBack) {
+    counted = role == VersionRole::kNew ? &evidence->new_version
+                                        : &evidence->old_version;
+  } else if (evidence == nullptr && this->rollouts != nullptr) {
+    counted = this->rollouts->HistoryOf(entry.service, kind);
+  }
+  if (counted == nullptr) {
+    return;
+  }
+  VersionEvidence& version = *counted;
+  if (!success) {
+    version.AddFailure();
+  } else if (target.Cold(this->context.clock.Now())) {
+    version.AddUntimedReply();
+  } else {
+    version.AddReply(latency - std::min(latency, target.RoundTrip()));
+  }
+}
+
 // A request is bound to a target when it is placed, but may wait for a
 // connection for seconds. Requests that have to leave are placed again.
 void TargetTable::UpdateAdmission(TargetPool& pool) const {
@@ -256,7 +348,8 @@
     const TargetState& target,
     std::span<const std::string> allowed_regions) const {
   const TargetEntry& entry = target.entry();
-  if (entry.draining || this->evacuated.contains(entry.failure_domain)) {
+  if (entry.draining || this->evacuated.contains(entry.failure_domain) ||
+      !this->RolesOf(entry.service).MayReceive(entry.version)) {
     return false;
   }
   return allowed_regions.empty() ||
@@ -268,17 +361,20 @@
 TargetPtr TargetTable::FindBest(std::string_view service,
                                 std::span<const std::string> allowed_regions,
                                 std::span<const TargetPtr> excluded,
-                                const PlacementNeeds& needs) const {
+                                const PlacementNeeds& needs,
+                                std::optional<VersionRole> role) const {
   const auto found = this->by_service.find(service);
   if (found == this->by_service.end()) {
     return nullptr;
   }
   const TimePoint now = this->context.clock.Now();
+  const VersionRoles& versions = this->RolesOf(service);
   TargetPtr best;
   Duration best_cost{};
   for (const TargetPtr& target : found->second) {
     if (std::find(excluded.begin(), excluded.end(), target) != excluded.end() ||
-        !this->MayReceive(*target, allowed_regions)) {
+        !this->MayReceive(*target, allowed_regions) ||
+        (role && versions.RoleOf(target->entry().version) != *role)) {
       continue;
     }
     const Duration cost = PlacementCost(*target, needs, now);
@@ -294,14 +390,51 @@
                               std::span<const std::string> allowed_regions,
                               std::span<const TargetPtr> tried,
                               const PlacementNeeds& needs) {
-  TargetPtr best = this->FindBest(service, allowed_regions, tried, needs);
+  if (this->RolesOf(service).use() != VersionUse::kCanary) {
+    return this->ChooseAmong(service, allowed_regions, tried, needs, {});
+  }
+  // Repeats go to the old version, so that a caller does not lose both attempts
+  // to a bad one.
+  TargetPtr canary;
+  if (tried.empty()) {
+    canary = this->ChooseCanary(service, allowed_regions, needs);
+  }
+  return canary != nullptr ? canary
+                           : this->ChooseAmong(service, allowed_regions, tried,
+                                               needs, VersionRole::kOld);
+}
+
+TargetPtr TargetTable::ChooseCanary(
+    std::string_view service,
+    std::span<const std::string> allowed_regions,
+    const PlacementNeeds& needs) {
+  if (this->FindBest(service, allowed_regions, {}, needs, VersionRole::kNew) ==
+          nullptr ||
+      !this->rollouts->TakeExposure(service, this->context.clock.Now(),
+                                    this->in_contact())) {
+    return nullptr;
+  }
+  TargetPtr chosen =
+      this->ChooseAmong(service, allowed_regions, {}, needs, VersionRole::kNew);
+  if (chosen == nullptr) {
+    this->rollouts->GiveBackExposure(service);
+  }
+  return chosen;
+}
+
+TargetPtr TargetTable::ChooseAmong(std::string_view service,
+                                   std::span<const std::string> allowed_regions,
+                                   std::span<const TargetPtr> tried,
+                                   const PlacementNeeds& needs,
+                                   std::optional<VersionRole> role) {
+  TargetPtr best = this->FindBest(service, allowed_regions, tried, needs, role);
   if (best == nullptr || this->TryAcquireColdRequest(*best)) {
     return best;
   }
   std::vector<TargetPtr> excluded(tried.begin(), tried.end());
   while (best != nullptr && !this->TryAcquireColdRequest(*best)) {
     excluded.push_back(best);
-    best = this->FindBest(service, allowed_regions, excluded, needs);
+    best = this->FindBest(service, allowed_regions, excluded, needs, role);
   }
   return best;
 }
@@ -314,8 +447,14 @@
     return costs;
   }
   const TimePoint now = this->context.clock.Now();
+  const VersionRoles& versions = this->RolesOf(service);
   for (const TargetPtr& target : found->second) {
-    if (this->MayReceive(*target, {})) {
+    // Few requests go to a version that is not proved good, so that it does not
+    // decide which host fetches a part.
+    const bool canary =
+        versions.use() == VersionUse::kCanary &&
+        versions.RoleOf(target->entry().version) == VersionRole::kNew;
+    if (!canary && this->MayReceive(*target, {})) {
       const Duration cost = PlacementCost(*target, needs, now);
       const auto entry =
           costs.emplace(target->entry().failure_domain, cost).first;
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -12,6 +13,7 @@
 #include "auburnyard/cold_rate_limiter.h"
 #include "auburnyard/host_table.h"
 #include "auburnyard/placement.h"
+#include "auburnyard/rollout_table.h"
 #include "auburnyard/route_table.h"
 #include "auburnyard/target_state.h"
 #include "src/relay/target_pool.h"
@@ -61,6 +63,13 @@
   /// Sets the limits per service; null until a configuration has been received.
   void SetRoutes(std::shared_ptr<const RouteTable> table);
 
+  /// Makes the choice of targets follow the rollouts. Without it, all versions
+  /// of a service are used alike.
+  void SetRollouts(RolloutTable& table, std::function<bool()> in_contact);
+  /// The use of the service's versions may have changed.
+  void UpdateVersions(std::string_view service);
+  RolloutTargets TargetsOf(std::string_view service) const;
+
   /// Returns the target with the lowest cost among those that may receive
   /// requests for the service now, or null. Counts as a request to the target
   /// if it is cold.
@@ -84,10 +93,26 @@
  private:
   using PoolPtr = std::shared_ptr<TargetPool>;
 
+  /// `role`: only targets whose version has it.
   TargetPtr FindBest(std::string_view service,
                      std::span<const std::string> allowed_regions,
                      std::span<const TargetPtr> excluded,
-                     const PlacementNeeds& needs) const;
+                     const PlacementNeeds& needs,
+                     std::optional<VersionRole> role) const;
+  TargetPtr ChooseAmong(std::string_view service,
+                        std::span<const std::string> allowed_regions,
+                        std::span<const TargetPtr> tried,
+                        const PlacementNeeds& needs,
+                        std::optional<VersionRole> role);
+  /// Target of the new version, if this request may go there; else null.
+  TargetPtr ChooseCanary(std::string_view service,
+                         std::span<const std::string> allowed_regions,
+                         const PlacementNeeds& needs);
+  const VersionRoles& RolesOf(std::string_view service) const;
+  void RecordAnswer(const TargetState& target,
+                    std::string_view kind,
+                    bool success,
+                    Duration latency);
   bool TryAcquireColdRequest(const TargetState& target);
   /// Rate in requests per second that all hosts together may send to the target
   /// while it is cold; 0: not limited.
@@ -123,6 +148,9 @@
   std::map<std::string, TimePoint, std::less<>> deferred_removals;
   std::map<std::string, ColdRateLimiter, std::less<>> cold_rates;  // by target
   std::set<std::string, std::less<>> evacuated;
+  RolloutTable* rollouts = nullptr;
+  std::function<bool()> in_contact;
+  std::map<std::string, VersionRoles, std::less<>> roles;  // by service
   TimePoint defer_removals_until{};
   TimePoint next_preconnect{};
   // Share of a target's limit that this host may use.
--- a/test/target_table_test.cc
+++ b/test/target_table_test.cc
@@ -74,6 +74,63 @@
   BOOST_TEST(fixture.Chosen({"r2"}) == "far");
 }
 
+// Guards against requests to a version that no order names or that was rolled
+// back, and to the old version once the new one is complete.
+BOOST_AUTO_TEST_CASE(VersionsFollowTheRollout) {
+  TableFixture fixture;
+  RolloutTable rollouts("h1", fixture.hosts);
+  rollouts.SetHooks({.on_change = [&fixture](std::string_view service) {
+    fixture.table.UpdateVersions(service);
+  }});
+  rollouts.SetLimits({.exposure_share = 0.1, .exposure_margin = 50});
+  fixture.table.SetRollouts(rollouts, [] { return true; });
+  TargetEntry old_target = TableFixture::Entry("old", "d2");
+  old_target.version = "v1";
+  old_target.started_at_ms = 1'000;
+  TargetEntry new_target = TableFixture::Entry("new", "d1");
+  new_target.version = "v2";
+  new_target.started_at_ms = 90'000;
+  fixture.table.Upsert(old_target);
+  fixture.table.Upsert(new_target);
+  BOOST_TEST(fixture.Chosen() == "old");
+  rollouts.OnOrder({"s", "v2", milliseconds(10'000), 5}, fixture.clock.Now());
+  fixture.AdvanceTime(milliseconds(2'000));
+  BOOST_TEST(fixture.Chosen() == "new");
+  BOOST_TEST(fixture.table.Costs("s", {}).count("d1") == 0U);
+  for (int i = 0; i < 30; ++i) {
+    fixture.Chosen();
+  }
+  BOOST_TEST(fixture.Chosen() == "old");  // the margin is used up
+  rollouts.OnStage({"s", 5, RolloutStage::kFull, 7}, fixture.clock.Now());
+  BOOST_TEST(fixture.Chosen() == "new");
+  const auto target = [&fixture] { return fixture.table.Choose("s", {}, {}); };
+  const std::vector<TargetPtr> tried{target()};
+  BOOST_TEST((fixture.table.Choose("s", {}, tried) == nullptr));
+  rollouts.OnStatus({"s", RolloutState::kRolledBack, "v2", 8},
+                    fixture.clock.Now());
+  BOOST_TEST(fixture.Chosen() == "old");
+  rollouts.OnOrder({"s", "v2", milliseconds(10'000), 9}, fixture.clock.Now());
+  rollouts.OnStatus({"s", RolloutState::kComplete, "v2", 10},
+                    fixture.clock.Now());
+  BOOST_TEST(fixture.Chosen() == "new");
+}
+
+// Guards against a change of the choice where rollouts are not enabled.
+BOOST_AUTO_TEST_CASE(WithoutRolloutsAllVersionsAreUsedAlike) {
+  TableFixture fixture;
+  RolloutTable rollouts("h1", fixture.hosts);
+  fixture.table.SetRollouts(rollouts, [] { return true; });
+  TargetEntry old_target = TableFixture::Entry("old", "d2");
+  old_target.started_at_ms = 1'000;
+  TargetEntry new_target = TableFixture::Entry("new", "d1");
+  new_target.version = "v2";
+  new_target.started_at_ms = 90'000;
+  fixture.table.Upsert(old_target);
+  fixture.table.Upsert(new_target);
+  rollouts.OnOrder({"s", "v3", milliseconds(10'000), 5}, fixture.clock.Now());
+  BOOST_TEST(fixture.Chosen() == "new");
+}
+
 // Guards against using a target after its registration is gone.
 BOOST_AUTO_TEST_CASE(RemovedTargetIsNotChosen) {
   TableFixture fixture;
--- a/util/relay_standin/store_standin.cc
+++ b/util/relay_standin/store_standin.cc
@@ -17,6 +17,7 @@
 // Maximum number of changes in one reply to a watch.
 constexpr std::size_t kMaxWatchEvents = 500;
 constexpr int kNotFound = 404;
+constexpr int kConditionFailed = 412;
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 
@@ -275,6 +276,14 @@
 
 HttpResponse StoreStandin::Transact(const HttpRequest& request) {
   const boost::json::value body = boost::json::parse(request.body);
+  for (const boost::json::value& row : body.at("expected_rev").as_array()) {
+    const auto item = this->items.find(std::string(row.at("key").as_string()));
+    const std::uint64_t present =
+        item == this->items.end() ? 0 : item->second.revision;
+    if (present != row.at("revision").to_number<std::uint64_t>()) {
+      return {.status = kConditionFailed, .body = R"({"items":[]})"};
+    }
+  }
   for (const boost::json::value& put : body.at("put_op").as_array()) {
     const auto lease = put.at("lease_id").to_number<std::uint64_t>();
     if (lease != 0 && !this->leases.contains(lease)) {
@@ -283,6 +292,11 @@
     this->Change(std::string(put.at("key").as_string()),
                  std::string(put.at("value").as_string()), lease);
   }
+  for (const boost::json::value& key : body.at("remove").as_array()) {
+    if (this->items.contains(std::string(key.as_string()))) {
+      this->Change(std::string(key.as_string()), std::nullopt, 0);
+    }
+  }
   return Json({{"revision", this->revision}});
 }
 
