Divide the exposure margin between all hosts at directly used services

Cause: at a service that all hosts use directly, only the hosts that fetch parts used the margin, and evidence came slowly. Change: where the service is not part of a fan-out, the margin is divided between all registered hosts.

--- a/include/auburnyard/rollout_table.h
+++ b/include/auburnyard/rollout_table.h
@@ -95,8 +95,12 @@
 
   VersionPolicy PolicyOf(std::string_view service) const;
   /// Whether the next request to the service may go to the new version. Counts
-  /// it if so.
-  bool TakeExposure(std::string_view service, TimePoint now, bool in_contact);
+  /// it if so. `by_all`: all hosts send requests to the service, and not only
+  /// those that fetch parts for others.
+  bool TakeExposure(std::string_view service,
+                    TimePoint now,
+                    bool in_contact,
+                    bool by_all);
   void GiveBackExposure(std::string_view service);
   void OnSent(std::string_view service);
   /// Evidence of a request to the service; null without a running rollout.
@@ -151,6 +155,9 @@
   /// Time by which this host waits for those before it to write.
   Duration WriteDelay(std::string_view service) const;
   Entry* Running(std::string_view service);
+  /// Position among all registered hosts by rank for the service; behind them
+  /// if this host is not registered.
+  RolloutShare RankAmongAll(std::string_view service) const;
 
   std::string host_name;
   const HostTable& hosts;
--- a/src/core/rollout_table.cc
+++ b/src/core/rollout_table.cc
@@ -259,16 +259,37 @@
           .target_version = entry.order ? entry.order->target_version : ""};
 }
 
+RolloutShare RolloutTable::RankAmongAll(std::string_view service) const {
+  const std::uint64_t own = RendezvousScore(service, this->host_name);
+  RolloutShare share{.rank = 0, .hosts = 0};
+  bool registered = false;
+  for (const HostEntry& host : this->hosts.RegisteredHosts()) {
+    ++share.hosts;
+    registered = registered || host.name == this->host_name;
+    share.rank += host.name != this->host_name &&
+                          RendezvousScore(service, host.name) > own
+                      ? 1
+                      : 0;
+  }
+  if (!registered) {
+    share.rank = share.hosts;
+  }
+  return share;
+}
+
 bool RolloutTable::TakeExposure(std::string_view service,
                                 TimePoint now,
-                                bool in_contact) {
+                                bool in_contact,
+                                bool by_all) {
   Entry* entry = this->Running(service);
   if (entry == nullptr) {
     return false;
   }
-  const RolloutShare share{
-      .rank = this->hosts.Rank(this->host_name, service, now),
-      .hosts = this->hosts.SharingHostCount(now)};
+  const RolloutShare share =
+      by_all ? this->RankAmongAll(service)
+             : RolloutShare{
+                   .rank = this->hosts.Rank(this->host_name, service, now),
+                   .hosts = this->hosts.SharingHostCount(now)};
   return entry->rollout->TakeExposure(share, now, in_contact);
 }
 
@@ -303,18 +324,9 @@
 
 Duration RolloutTable::WriteDelay(std::string_view service) const {
   const std::uint64_t own = RendezvousScore(service, this->host_name);
-  std::size_t rank = 0;
-  bool registered = false;
-  for (const HostEntry& host : this->hosts.RegisteredHosts()) {
-    registered = registered || host.name == this->host_name;
-    rank += host.name != this->host_name &&
-                    RendezvousScore(service, host.name) > own
-                ? 1
-                : 0;
-  }
-  if (!registered) {
-    rank += kMaxRankDelays;
-  }
+  const RolloutShare position = this->RankAmongAll(service);
+  const std::size_t rank =
+      position.rank < position.hosts ? position.rank : kMaxRankDelays;
   // Beyond the last delay the hosts are spread over one more.
   const auto spread = milliseconds(
       rank < kMaxRankDelays
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -404,6 +404,21 @@
                                                needs, VersionRole::kOld);
 }
 
+bool TargetTable::IsUsedByAll(std::string_view service) const {
+  if (this->routes == nullptr) {
+    return false;
+  }
+  for (const auto& [host, list] : this->routes->by_host()) {
+    for (const Route& route : list) {
+      if (std::find(route.shards.begin(), route.shards.end(), service) !=
+          route.shards.end()) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 TargetPtr TargetTable::ChooseCanary(
     std::string_view service,
     std::span<const std::string> allowed_regions,
@@ -411,7 +426,8 @@
   if (this->FindBest(service, allowed_regions, {}, needs, VersionRole::kNew) ==
           nullptr ||
       !this->rollouts->TakeExposure(service, this->context.clock.Now(),
-                                    this->in_contact())) {
+                                    this->in_contact(),
+                                    this->IsUsedByAll(service))) {
     return nullptr;
   }
   TargetPtr chosen =
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -108,6 +108,9 @@
   TargetPtr ChooseCanary(std::string_view service,
                          std::span<const std::string> allowed_regions,
                          const PlacementNeeds& needs);
+  /// Whether requests to the service are sent by all hosts: it is not part of a
+  /// fan-out, whose parts are fetched by a few hosts.
+  bool IsUsedByAll(std::string_view service) const;
   const VersionRoles& RolesOf(std::string_view service) const;
   void RecordAnswer(const TargetState& target,
                     std::string_view kind,
--- a/test/rollout_simulation.h
+++ b/test/rollout_simulation.h
@@ -261,7 +261,8 @@
     const bool is_new =
         use == VersionUse::kNewOnly ||
         (use == VersionUse::kCanary &&
-         host.table->TakeExposure("s", this->now, this->store_available));
+         host.table->TakeExposure("s", this->now, this->store_available,
+                                  !this->options.fetchers_only));
     host.table->OnSent("s");
     ++this->result.requests;
     const std::string kind = this->random() % 3 == 0 ? "a" : "b";
