--- a/src/relay/relay_host.h
+++ b/src/relay/relay_host.h
@@ -15,6 +15,7 @@
 #include "src/relay/quota_client.h"
 #include "src/relay/quota_server.h"
 #include "src/relay/relay_settings.h"
+#include "src/relay/rollout_writer.h"
 #include "src/relay/store_follower.h"
 #include "src/relay/store_registration.h"
 
@@ -50,6 +51,7 @@
   /// Registers this host in the store once other hosts need its address.
   void UpdateRegistration();
   void Register();
+  void StartRollouts();
   void WaitForSignal();
   void OnTerminate();
   void OnReload();
@@ -67,6 +69,7 @@
   RelayContext context;
   RelayMetrics metrics;
   HostTable hosts;
+  RolloutTable rollouts;
   TargetTable targets;
   PeerTable peers;
   RelayService service;
@@ -77,6 +80,7 @@
   std::shared_ptr<StoreRegistration> registration;
   std::shared_ptr<QuotaServer> quota_server;  // null: limits are not enforced
   std::shared_ptr<QuotaClient> quota_client;
+  std::shared_ptr<RolloutWriter> rollout_writer;
   std::shared_ptr<HttpServer> readiness;
   std::shared_ptr<HttpServer> metrics_server;
   boost::asio::signal_set signals;
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -50,6 +50,16 @@
               "admission: expected automatic, always or never");
 }
 
+RolloutLimits ParseRollouts(const detail::JsonReader& reader) {
+  reader.AllowOnly({"exposure_share", "exposure_margin", "rollback_ms"});
+  RolloutLimits limits;
+  limits.exposure_share = reader.Number("exposure_share", 0, 1, 0);
+  limits.exposure_margin = reader.Number("exposure_margin", 0, kMaxBurst, 0);
+  limits.rollback_time = std::chrono::milliseconds(
+      reader.Integer("rollback_ms", 0, kMaxSeconds * 1'000, 0));
+  return limits;
+}
+
 }  // namespace
 
 RelaySettings ParseRelaySettings(std::string_view text) {
@@ -58,8 +68,8 @@
   const detail::JsonReader reader(document, "", ErrorKind::kBadSettings);
   reader.AllowOnly({"host", "failure_domain", "region", "domain_regions",
                     "listen", "store", "shutdown_time_s", "repeats",
-                    "cold_targets", "accounts", "admission", "cores",
-                    "log_level"});
+                    "cold_targets", "accounts", "admission", "rollouts",
+                    "cores", "log_level"});
   RelaySettings settings;
   settings.host_name = reader.String("host");
   settings.failure_domain = reader.String("failure_domain");
@@ -109,6 +119,9 @@
     settings.accounts = ParseAccounts(reader.Child("accounts"));
   }
   settings.admission = ParseAdmission(reader.String("admission", "automatic"));
+  if (reader.Has("rollouts")) {
+    settings.rollouts = ParseRollouts(reader.Child("rollouts"));
+  }
   settings.log_level = reader.String("log_level", "info");
   return settings;
 }
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -26,6 +26,15 @@
     /// Called with the shares that another entry host can answer. May be empty.
     std::function<void(const TargetPtr&, std::span<const AdmissionShare>)>
         on_admission;
+    /// Called when a request is sent. May be empty.
+    std::function<void(const TargetPtr&)> on_sent;
+    /// Called when a request that was sent ends after `latency`, except if the
+    /// target refused it. May be empty.
+    std::function<void(const TargetPtr&,
+                       std::string_view kind,
+                       bool success,
+                       Duration latency)>
+        on_answer;
   };
 
   TargetPool(const RelayContext& context, TargetPtr target, Hooks hooks);
@@ -84,6 +93,9 @@
   void OnConnected(const TargetConnectionPtr& connection, bool success);
   void OnEnd(const TargetConnectionPtr& connection, ExchangeEnd end);
   void Remove(const TargetConnectionPtr& connection);
+  void ReportAnswer(const TargetExchange& exchange,
+                    bool success,
+                    Duration latency) const;
   void CountLateExchange(const TargetConnection& connection,
                          bool lingered,
                          TimePoint now);
