Do not charge the usage of older quota servers to one that starts

Cause: a server that had just started charged the totals of all servers that it heard for the first time, also where it did not adopt their levels, so that accounts were refused for seconds after each restart. Change: the first total of an account from a server that started earlier is not charged.

--- a/include/auburnyard/account_limiter.h
+++ b/include/auburnyard/account_limiter.h
@@ -130,6 +130,7 @@
   // Usage of an account at a peer.
   struct PeerUsage {
     std::int64_t seen = 0;       // its total in its last report
+    bool reported = false;       // since the start of the peer
     std::int64_t confirmed = 0;  // own total that it confirmed
     double assumed = 0;          // subtracted since it is silent
     TimePoint assumed_until{};
--- a/src/core/account_limiter.cc
+++ b/src/core/account_limiter.cc
@@ -372,11 +372,10 @@
   }
   Peer& peer = found->second;
   const std::string name(peer_name);
-  // Its usage before is part of the levels that are adopted.
-  const bool is_included =
-      peer.epoch == 0 && report.synchronized &&
+  const bool is_older =
       report.uptime >
-          std::chrono::duration_cast<milliseconds>(now - this->started_at);
+      std::chrono::duration_cast<milliseconds>(now - this->started_at);
+  const bool may_adopt = peer.epoch == 0 && is_older && report.synchronized;
   const bool restarted =
       std::exchange(peer.epoch, report.epoch) != report.epoch;
   // The time of silence has to be charged before the peer counts as heard.
@@ -396,9 +395,10 @@
   if (restarted) {
     for (auto& [account_name, account] : this->accounts) {
       account.peers[name].seen = 0;
+      account.peers[name].reported = false;
     }
   }
-  if (is_included && !this->IsSynchronized(now)) {
+  if (may_adopt && !this->IsSynchronized(now)) {
     this->Adopt(report, now);
   }
   for (const AccountUsage& usage : report.accounts) {
@@ -407,9 +407,12 @@
     PeerUsage& known = account.peers[name];
     const auto added = static_cast<double>(
         usage.total - std::exchange(known.seen, usage.total));
+    // The first total of a server that started before this one includes usage
+    // of any age.
+    const bool is_old_usage = !std::exchange(known.reported, true) && is_older;
     // What was assumed beyond the actual usage is not returned: it may have
     // been long ago, while the usage may be recent.
-    if (!is_included) {
+    if (!is_old_usage) {
       account.level -= added < 0 ? added : std::max(0.0, added - known.assumed);
     }
   }
