Charge an added quota server only for the time since it was listed

Cause: a quota server that was listed and not heard yet was charged its share for the whole life of each account, 85 tokens at a rate of 31/s after 33 s, so that accounts far below their limit were refused for seconds whenever hosts restarted. Change: its share counts from the time at which it was listed.

--- a/include/auburnyard/account_limiter.h
+++ b/include/auburnyard/account_limiter.h
@@ -117,6 +117,7 @@
   struct Peer {
     std::string failure_domain;
     double weight = 0;  // share of the limits
+    TimePoint listed_at{};  // as a quota server
     TimePoint heard_at{};
     TimePoint confirmed_at{};
     TimePoint reported_at{};  // to this peer
--- a/src/core/account_limiter.cc
+++ b/src/core/account_limiter.cc
@@ -66,9 +66,12 @@
       continue;
     }
     present.insert(other.name);
-    Peer& peer = this->peers[other.name];
+    const auto [entry, is_new] = this->peers.try_emplace(other.name);
+    Peer& peer = entry->second;
     peer.failure_domain = other.failure_domain;
-    if (std::exchange(peer.removed_at, TimePoint::max()) != TimePoint::max()) {
+    if (is_new || peer.removed_at != TimePoint::max()) {
+      peer.listed_at = now;
+      peer.removed_at = TimePoint::max();
       peer.has_left = false;
     }
   }
@@ -205,8 +208,8 @@
     if (!this->IsHeard(peer, now) && !peer.has_left) {
       // Includes the time between its last report and the detection.
       PeerUsage& usage = account.peers[name];
-      const TimePoint since =
-          std::max({usage.assumed_until, peer.heard_at, account.created_at});
+      const TimePoint since = std::max({usage.assumed_until, peer.heard_at,
+                                        account.created_at, peer.listed_at});
       const double assumed = account.limits.rate * peer.weight *
                              Seconds(std::max(Duration::zero(), now - since));
       usage.assumed_until = now;
--- a/test/account_limiter_test.cc
+++ b/test/account_limiter_test.cc
@@ -558,6 +558,30 @@
   }
 }
 
+// Guards against a server that is added and charged for the time before, so
+// that an account is refused although it used little.
+BOOST_AUTO_TEST_CASE(AddedServerIsNotChargedForTheTimeBefore) {
+  constexpr AccountLimits kLimits{.rate = 20, .burst = 20};
+  TimePoint now(std::chrono::seconds(1'000));
+  AccountLimiter limiter({"own", "d0"}, {.excess = 0.1, .margin = 20}, 1, now);
+  std::vector<QuotaPeer> others = {{"p0", "d1"}};
+  std::size_t admitted = 0;
+  for (int step = 0; step < 800; ++step) {
+    now += std::chrono::milliseconds(50);
+    limiter.Tick(now);
+    if (step == 760) {
+      others.push_back({"p1", "d0"});
+    }
+    limiter.SetPeers(others, 2, now);
+    limiter.OnReport("p0", {.epoch = 7, .complete = true}, now);
+    limiter.OnConfirmed("p0", 7, true, limiter.ReportFor("p0", now), now);
+    const bool one = limiter.Admit("a", kLimits, 1, now).admitted;
+    admitted += step >= 760 && one ? 1 : 0;
+  }
+  // Two seconds, of which three quarters are not the share of the new server.
+  BOOST_TEST(admitted >= 28U);
+}
+
 // Guards against rolling restarts in which the shares of servers that have left
 // stay reserved, so that accounts are refused far below their limit.
 BOOST_AUTO_TEST_CASE(ServersThatLeaveNeedNoShare) {
