--- a/include/auburnyard/account_limiter.h
+++ b/include/auburnyard/account_limiter.h
@@ -116,7 +116,7 @@
  private:
   struct Peer {
     std::string failure_domain;
-    double weight = 0;  // share of the limits
+    double weight = 0;      // share of the limits
     TimePoint listed_at{};  // as a quota server
     TimePoint heard_at{};
     TimePoint confirmed_at{};
