Review: a cold target gets its full load after a restart with a clock step

The reports of the new incarnation are dropped, with the time of its warm-up.

Change: review/8; the servers of the stand-ins can be cold and crash, and ports lie below the range of outgoing connections. No code of the project is changed.

--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -42,6 +43,12 @@
 // to.
 constexpr milliseconds kServesLonger{1'500};
 constexpr seconds kStartTime{10};
+constexpr milliseconds kWarmUp{3'000};
+constexpr double kWarmUpRate = 4;
+// warmup_per_s x warmup_factor + warmup_margin.
+constexpr std::size_t kColdBound = 11;
+constexpr milliseconds kUsualWork{200};
+constexpr milliseconds kShortWork{60};
 
 constexpr std::string_view kService = "archive-desk";
 // The index, as at the site: its servers only report here.
@@ -50,6 +57,12 @@
 const std::vector<std::string> kZones = {"glasgow-east", "inverness-a",
                                          "galashiels-b"};
 
+/// Requests of the clients of each machine.
+struct Traffic {
+  std::size_t threads_per_machine = 4;
+  milliseconds pace{500};  // of one thread
+};
+
 struct Ports {
   std::uint16_t store = 0;
   std::vector<std::uint16_t> ingress;
@@ -60,7 +73,7 @@
   return "council-portal-" + std::to_string(index);
 }
 
-boost::json::object Configuration() {
+boost::json::object Configuration(double warm_up_per_second) {
   using boost::json::array;
   using boost::json::object;
   array shards;
@@ -68,7 +81,7 @@
                            {"health_path", "/health"},
                            {"max_connections", 48},
                            {"warmup_s", 3},
-                           {"warmup_per_s", 0}}};
+                           {"warmup_per_s", warm_up_per_second}}};
   for (int i = 0; i < kShards; ++i) {
     shards.emplace_back(ShardName(i));
     services.push_back(object{{"name", ShardName(i)},
@@ -108,22 +121,28 @@
 /// What all cases share.
 class Stage {
  public:
-  Stage(const Ports& machine_ports, const std::string& record_path)
+  Stage(const Ports& machine_ports,
+        const std::string& record_path,
+        const Traffic& traffic)
       : record(record_path),
         ports(machine_ports),
         store(machine_ports.store),
         clients({.machines = machine_ports.ingress,
+                 .threads_per_machine = traffic.threads_per_machine,
+                 .pace = traffic.pace,
                  .host = "archive.example",
                  .path = "/orders/new"},
                 this->record) {}
 
   Server& AddServer(const std::string& id,
                     std::string_view service,
-                    const std::string& zone) {
+                    const std::string& zone,
+                    milliseconds work) {
     this->servers.push_back(std::make_unique<Server>(
         Server::Options{.id = id,
                         .service = std::string(service),
                         .zone = zone,
+                        .work = work,
                         .heartbeat = kHeartbeat},
         this->store, this->runs, this->record));
     return *this->servers.back();
@@ -131,11 +150,13 @@
 
   /// Adds a server in each zone, starts those from `first` on and waits until
   /// all machines are ready.
-  bool Prepare(std::size_t first) {
-    this->store.Put("op/config", Configuration());
+  bool Prepare(std::size_t first,
+               double warm_up_per_second,
+               milliseconds work) {
+    this->store.Put("op/config", Configuration(warm_up_per_second));
     for (std::size_t i = 0; i < kZones.size(); ++i) {
-      Server& server =
-          this->AddServer("server-" + std::to_string(i), kService, kZones[i]);
+      Server& server = this->AddServer("server-" + std::to_string(i), kService,
+                                       kZones[i], work);
       if (i >= first) {
         server.Start();
       }
@@ -143,7 +164,7 @@
     for (int i = 0; i < kShards; ++i) {
       for (int k = 0; k < 2; ++k) {
         this->AddServer(ShardName(i) + "-" + std::to_string(k), ShardName(i),
-                        kZones.at(static_cast<std::size_t>(k)))
+                        kZones.at(static_cast<std::size_t>(k)), work)
             .Start();
         // Servers report at different times.
         std::this_thread::sleep_for(kHeartbeat / (2 * kShards));
@@ -247,6 +268,74 @@
   return late.empty() ? kHeld : kBroken;
 }
 
+// As above, but the server is cold for a while after each start, and crashes at
+// twice the rate that the rule allows.
+int PlayWarmUp(Stage& stage, bool trouble) {
+  constexpr milliseconds kStep{2'000};
+  stage.servers.erase(stage.servers.begin());
+  Server server({.id = "server-0",
+                 .service = std::string(kService),
+                 .zone = kZones.front(),
+                 .work = kShortWork,
+                 .warm_up = kWarmUp,
+                 .cold_crash_rate = 2 * kColdBound},
+                stage.store, stage.runs, stage.record);
+  stage.clients.Start();
+  std::this_thread::sleep_for(seconds(4));
+  server.Start();
+  std::this_thread::sleep_for(milliseconds(1'000));
+  server.Crash();
+  std::this_thread::sleep_for(milliseconds(500));
+  if (trouble) {
+    Report(stage, "the clock of the machine of server-0 steps 2 s back");
+  }
+  server.Start(trouble ? -kStep : milliseconds(0));
+  const TimePoint end = Clock::now() + kWarmUp + seconds(3);
+  while (Clock::now() < end && !server.crashed_cold()) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  if (server.crashed_cold()) {
+    server.Crash();
+  }
+  std::this_thread::sleep_until(end);
+  stage.clients.Stop();
+  std::map<std::string, TimePoint> sent;
+  std::set<std::string> answered;
+  for (const Exchange& exchange : stage.clients.All()) {
+    sent[exchange.request] = exchange.sent;
+    if (!exchange.stamp.empty()) {
+      answered.insert(exchange.request);
+    }
+  }
+  std::vector<Run> cold;
+  for (Run& run : stage.runs.All()) {
+    if (run.server == server.id() && run.cold) {
+      cold.push_back(run);
+    }
+  }
+  std::size_t most = 0;
+  std::size_t unanswered = 0;
+  for (const Run& first : cold) {
+    std::size_t count = 0;
+    for (const Run& run : cold) {
+      count +=
+          run.arrived >= first.arrived &&
+          run.arrived < first.arrived + seconds(1) &&
+          (run.request == first.request || sent[run.request] >= first.arrived);
+    }
+    most = std::max(most, count);
+    unanswered += answered.contains(first.request) ? 0 : 1;
+  }
+  Report(stage, "while cold, server-0 got " + std::to_string(cold.size()) +
+                    " requests, at most " + std::to_string(most) +
+                    " in one second; the bound is " +
+                    std::to_string(kColdBound) +
+                    (server.crashed_cold() ? "; it crashed" : ""));
+  Report(stage, std::to_string(unanswered) +
+                    " of these ended without the answer of the server");
+  return most > kColdBound ? kBroken : kHeld;
+}
+
 // A server reports that it drains. Right after the store has accepted that, the
 // store falls silent. The answers of the server say that it leaves.
 int PlayLeaving(Stage& stage, bool trouble) {
@@ -304,14 +393,26 @@
   return late.empty() ? kHeld : kBroken;
 }
 
-// Prints ports that are free at the moment.
+// Prints ports that are free at the moment. They lie below those that the
+// system gives to outgoing connections.
 int PrintPorts(std::size_t count) {
+  constexpr std::uint16_t kLowest = 11'000;
+  constexpr std::uint16_t kHighest = 31'000;
+  std::mt19937 random(std::random_device{}());
+  std::uniform_int_distribution<std::uint16_t> pick(kLowest, kHighest);
   asio::io_context io;
   std::vector<asio::ip::tcp::acceptor> held;
-  for (std::size_t i = 0; i < count; ++i) {
-    held.emplace_back(
-        io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    std::cout << held.back().local_endpoint().port() << '\n';
+  while (held.size() < count) {
+    asio::ip::tcp::acceptor acceptor(io);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
+                                           pick(random));
+    boost::system::error_code error;
+    acceptor.open(endpoint.protocol());
+    acceptor.bind(endpoint, error);
+    if (!error) {
+      std::cout << endpoint.port() << '\n';
+      held.push_back(std::move(acceptor));
+    }
   }
   return kHeld;
 }
@@ -335,13 +436,24 @@
   }
   const char* const setting = std::getenv("TROUBLE");
   const bool trouble = setting == nullptr || std::string_view(setting) != "0";
-  Stage stage(ports, arguments[1]);
-  const bool starts_late = arguments[0] == "clock";
-  if (!stage.Prepare(starts_late ? 1 : 0)) {
+  const std::string& name = arguments[0];
+  const bool warms_up = name == "warm-up";
+  Traffic traffic;
+  if (warms_up) {
+    traffic = {.threads_per_machine = 10, .pace = milliseconds(250)};
+  }
+  Stage stage(ports, arguments[1], traffic);
+  const std::size_t first = name == "leaving" ? 0 : 1;
+  if (!stage.Prepare(first, warms_up ? kWarmUpRate : 0,
+                     warms_up ? kShortWork : kUsualWork)) {
     Report(stage, "the machines are not ready");
     return kCannotRun;
   }
-  return starts_late ? PlayClock(stage, trouble) : PlayLeaving(stage, trouble);
+  if (warms_up) {
+    return PlayWarmUp(stage, trouble);
+  }
+  return name == "clock" ? PlayClock(stage, trouble)
+                         : PlayLeaving(stage, trouble);
 }
 
 }  // namespace
--- a/review/standin-2/run-case.sh
+++ b/review/standin-2/run-case.sh
@@ -1,5 +1,6 @@
 # Plays a case with three machines of the system, one in each zone. Sourced by the run.sh of a case, which sets `name`.
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. KEEP_LOGS names a folder that gets the
+# logs of the machines.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
--- a/review/standin-2/server.cc
+++ b/review/standin-2/server.cc
@@ -1,5 +1,6 @@
 #include "review/standin-2/server.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <utility>
 
@@ -49,6 +50,7 @@
           .count();
   this->sequence = 0;
   this->draining = false;
+  this->cold_until = Clock::now() + this->options.warm_up;
   this->acceptor = std::make_unique<Acceptor>(
       this->port, [this](Socket& socket) { this->Serve(socket); });
   this->port = this->acceptor->port();
@@ -87,6 +89,8 @@
 
 void Server::Register() {
   const std::lock_guard lock(this->mutex);
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->cold_until - Clock::now());
   this->store.Put("servers/" + this->options.id,
                   {{"service", this->options.service},
                    {"address", "127.0.0.1:" + std::to_string(this->port)},
@@ -94,7 +98,7 @@
                    {"version", "v1"},
                    {"slots", this->options.slots},
                    {"state", this->draining ? "draining" : "ready"},
-                   {"warmup_left_ms", 0},
+                   {"warmup_left_ms", std::max<std::int64_t>(0, left.count())},
                    {"seq_num", ++this->sequence},
                    {"born", this->born}});
 }
@@ -120,6 +124,9 @@
       return;
     }
     const HttpResponse response = this->Answer(request);
+    if (this->overwhelmed) {
+      return;
+    }
     http::write(socket, response, error);
     if (error) {
       return;
@@ -127,6 +134,17 @@
   }
 }
 
+bool Server::IsTooMuch(TimePoint now) {
+  if (now >= this->cold_until || this->options.cold_crash_rate == 0) {
+    return false;
+  }
+  this->cold_arrivals.push_back(now);
+  while (now - this->cold_arrivals.front() >= std::chrono::seconds(1)) {
+    this->cold_arrivals.pop_front();
+  }
+  return this->cold_arrivals.size() > this->options.cold_crash_rate;
+}
+
 HttpResponse Server::Answer(const HttpRequest& request) {
   const std::string id(request["X-Auburnyard-Request-Id"]);
   HttpResponse response;
@@ -139,6 +157,10 @@
   }
   const TimePoint arrived = Clock::now();
   std::unique_lock lock(this->mutex);
+  const bool cold = arrived < this->cold_until;
+  if (this->IsTooMuch(arrived) && !this->overwhelmed.exchange(true)) {
+    this->record.Write("server " + this->options.id + " crashes while cold");
+  }
   ++this->waiting;
   this->slot_freed.wait(lock,
                         [this] { return this->running < this->options.slots; });
@@ -150,7 +172,7 @@
   const std::string stamp =
       this->options.id + "." + id + "." + std::to_string(++this->stamps);
   lock.unlock();
-  this->runs.Add({this->options.id, id, arrived});
+  this->runs.Add({this->options.id, id, arrived, cold});
   this->record.Write("run " + id + " at " + this->options.id);
   std::this_thread::sleep_for(this->options.work);
   lock.lock();
--- a/review/standin-2/server.h
+++ b/review/standin-2/server.h
@@ -1,9 +1,11 @@
 #ifndef AUBURNYARD_REVIEW_STANDIN_2_SERVER_H_
 #define AUBURNYARD_REVIEW_STANDIN_2_SERVER_H_
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -24,6 +26,7 @@
   std::string server;
   std::string request;
   TimePoint arrived;
+  bool cold = false;  // whether the server was cold
 };
 
 /// Executions at all servers. Thread-safe.
@@ -48,6 +51,10 @@
     int slots = 6;
     std::chrono::milliseconds work{200};
     std::chrono::milliseconds heartbeat{1'200};
+    /// Time for which each incarnation is cold.
+    std::chrono::milliseconds warm_up{0};
+    /// A cold server crashes when more requests arrive within a second.
+    std::size_t cold_crash_rate = 0;
   };
 
   Server(Options options, Store& store, Runs& runs, Record& record);
@@ -64,11 +71,14 @@
   void Drain();
   /// Ends and removes its registration.
   void Leave();
+  bool crashed_cold() const { return this->overwhelmed.load(); }
   const std::string& id() const { return this->options.id; }
 
  private:
   void Serve(Socket& socket);
   HttpResponse Answer(const HttpRequest& request);
+  /// Whether the server has to crash because of a request at `now`.
+  bool IsTooMuch(TimePoint now);
   void Register();
   void Beat(const std::stop_token& stop);
 
@@ -85,6 +95,9 @@
   std::uint64_t sequence = 0;
   std::uint64_t stamps = 0;
   bool draining = false;
+  TimePoint cold_until{};
+  std::deque<TimePoint> cold_arrivals;
+  std::atomic<bool> overwhelmed{false};  // crashed while it was cold
   std::unique_ptr<Acceptor> acceptor;
   std::jthread heartbeat;
 };
