Review: keep the outage of review/7 inside the site's limit

Cause: the stand-in waited for the last requests of the leaving server before the store answered again, so that it was silent for up to 4.68 s, where the site has 4.5 s.

Change: the store answers first.

--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -339,7 +339,7 @@
 // A server reports that it drains. Right after the store has accepted that, the
 // store falls silent. The answers of the server say that it leaves.
 int PlayLeaving(Stage& stage, bool trouble) {
-  constexpr milliseconds kOutage{4'500};
+  constexpr milliseconds kOutage{4'400};
   stage.clients.Start();
   std::this_thread::sleep_for(seconds(4));
   Server& leaving = *stage.servers.front();
@@ -350,10 +350,12 @@
     Report(stage, "the store falls silent");
     stage.store.SetSilent(true);
   }
+  // The store answers again before the server ends, which takes a while.
   std::this_thread::sleep_until(drained + kOutage);
-  leaving.Leave();
   stage.store.SetSilent(false);
   Report(stage, "the store answers");
+  std::this_thread::sleep_until(drained + kDrain + kServesLonger);
+  leaving.Leave();
   std::this_thread::sleep_for(seconds(4));
   stage.clients.Stop();
   std::map<std::size_t, TimePoint> told;  // by machine
