Send nothing to a target that announced that it leaves

Cause: the announcement was not read. The entry in the store was the only sign of a leaving target, and it does not arrive while the store is silent.

Change: an announcement is a fact of the incarnation and one more input of the only decision on whether a request may go to a target (DecideAccess): first attempts, repeats, hedges, bundles, connections opened in advance, rollout versions and requests that wait. No entry of the store takes it back; another start or address is clean. Answers to bundles name the leaving targets of their services, so that the host which passes the merged answer on knows them, too. The soak plays such targets and checks by connection that nothing follows.

--- a/include/auburnyard/target_entry.h
+++ b/include/auburnyard/target_entry.h
@@ -2,11 +2,21 @@
 #define AUBURNYARD_TARGET_ENTRY_H_
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <string>
 
 namespace auburnyard {
 
+/// One start of a target.
+struct TargetIncarnation {
+  std::string id;
+  std::int64_t started_at_ms = 0;  ///< Unix time; 0: unknown
+  std::string address;             ///< IP:port
+
+  auto operator<=>(const TargetIncarnation&) const = default;
+};
+
 /// Registration of a target.
 struct TargetEntry {
   std::string id;  ///< usually new for each start of a target
@@ -20,6 +30,9 @@
   std::uint64_t sequence = 0;  ///< number of its latest report since its start
   std::string version;         ///< of the software or data that it serves
 
+  TargetIncarnation Incarnation() const {
+    return {this->id, this->started_at_ms, this->address};
+  }
   bool operator==(const TargetEntry&) const = default;
 };
 
--- a/include/auburnyard/target_state.h
+++ b/include/auburnyard/target_state.h
@@ -70,6 +70,9 @@
   void OnLoad(const LoadReport& report, TimePoint now);
   void SetColdUntil(TimePoint until) { this->cold_until_time = until; }
   TimePoint cold_until() const { return this->cold_until_time; }
+  /// The target announced that it leaves. Not taken back.
+  void SetLeaving() { this->is_leaving = true; }
+  bool leaving() const { return this->is_leaving; }
   bool Cold(TimePoint now) const { return now < this->cold_until_time; }
 
   /// Expected time to the reply for a request sent now. `work` is the estimate
@@ -127,6 +130,7 @@
   std::optional<LoadReport> load;
   TimePoint load_reported_at{};
   TimePoint cold_until_time{};
+  bool is_leaving = false;
   TimePoint avoid_until{};
   double failure_share = 0;
   TimePoint last_outcome_at{};
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -31,6 +31,7 @@
   std::shared_ptr<DisconnectNotifier>
       disconnect_notifier;   ///< reports when the client closes its connection
   std::uint64_t number = 0;  ///< ordinal on its connection, from 1
+  std::uint64_t connection = 0;  ///< ordinal of its connection at the server
 
   /// Value of a header, empty if absent. The name is case-insensitive.
   std::string_view Header(std::string_view name) const;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -69,6 +69,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   std::uint16_t bound_port = 0;
   std::atomic<std::size_t> connections{0};
+  std::atomic<std::uint64_t> accepted_count{0};
   std::atomic<bool> is_stopping{false};
   std::mutex sessions_mutex;
   std::unordered_map<const HttpSession*, std::weak_ptr<HttpSession>> sessions;
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -50,7 +50,8 @@
                          asio::ip::tcp::socket accepted)
     : server(std::move(owner)),
       socket(std::move(accepted)),
-      timer(this->socket.get_executor()) {
+      timer(this->socket.get_executor()),
+      ordinal(++this->server->accepted_count) {
   ++this->server->connections;
 }
 
@@ -185,6 +186,7 @@
   this->disconnect_notifier = std::make_shared<DisconnectNotifier>();
   request.disconnect_notifier = this->disconnect_notifier;
   request.number = ++this->requests;
+  request.connection = this->ordinal;
   this->WatchPeer();
   HttpResponder respond = [self =
                                this->shared_from_this()](HttpResponse reply) {
--- a/src/relay/peer_table.cc
+++ b/src/relay/peer_table.cc
@@ -51,6 +51,12 @@
       this->on_admission(host, shares);
     }
   };
+  hooks.on_leaving_report =
+      [this](std::span<const TargetIncarnation> reported) {
+        if (this->on_leaving_report) {
+          this->on_leaving_report(reported);
+        }
+      };
   auto pool =
       std::make_shared<TargetPool>(this->context, state, std::move(hooks));
   pool->SetConnectionLimit(kConnectionsPerPeer);
--- a/src/relay/peer_table.h
+++ b/src/relay/peer_table.h
@@ -32,6 +32,12 @@
           hook) {
     this->on_admission = std::move(hook);
   }
+  /// Sets a function that receives the targets which other hosts name as
+  /// leaving.
+  void SetLeavingHook(
+      std::function<void(std::span<const TargetIncarnation>)> hook) {
+    this->on_leaving_report = std::move(hook);
+  }
   std::shared_ptr<TargetPool> PoolOf(const TargetPtr& peer) const;
   void Sweep();
 
@@ -48,6 +54,7 @@
   TimePoint next_preconnect{};
   std::function<void(const TargetPtr&, std::span<const AdmissionShare>)>
       on_admission;
+  std::function<void(std::span<const TargetIncarnation>)> on_leaving_report;
 };
 
 }  // namespace auburnyard
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -11,6 +11,7 @@
 #include "auburnyard/admission_control.h"
 #include "auburnyard/fan_out.h"
 #include "auburnyard/load_report.h"
+#include "auburnyard/target_entry.h"
 #include "src/net/http_message.h"
 
 namespace auburnyard {
@@ -64,6 +65,9 @@
   std::optional<std::uint32_t> top_records;
   bool refused = false;       ///< the target did not run the request
   bool wrong_target = false;  ///< another target has this address
+  bool leaving = false;       ///< the target announces that it leaves
+  /// Targets, without their addresses, that announced it to another entry host.
+  std::vector<TargetIncarnation> leaving_targets;
   /// The host did not start the bundle because it could not be answered in
   /// time.
   bool overloaded = false;
@@ -107,6 +111,9 @@
   std::function<std::string(std::span<const AdmissionShare> shares,
                             bool refused)>
       encode_admission;
+  /// Header that names targets which leave to another entry host.
+  std::function<std::string(std::span<const TargetIncarnation> targets)>
+      encode_leaving;
   /// Status line and headers of a merged answer.
   std::function<std::string(const FanOutResult& result)> encode_merged;
 };
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -111,6 +111,13 @@
   this->configuration_delay.Observe(age);
 }
 
+void RelayMetrics::CountLeavingTarget() {
+  this->all
+      .Counter("auburnyard_relay_targets_leaving_total",
+               "Targets that announced in an answer that they leave.", {})
+      .Add();
+}
+
 void RelayMetrics::CountAccountDecision(std::string_view decision,
                                         std::string_view reason) {
   this->all
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -23,6 +23,8 @@
   void ObserveRequest(bool fans_out, Duration latency);
   /// Counts missing parts by cause.
   void CountLosses(const LossCounts& losses);
+  /// Counts a target that announced that it leaves.
+  void CountLeavingTarget();
   /// Counts a decision on a request of an account with a limit.
   void CountAccountDecision(std::string_view decision, std::string_view reason);
   /// Sets the number of failure domains whose quota servers are not heard.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -119,6 +119,11 @@
       [this](const TargetPtr& host, std::span<const AdmissionShare> shares) {
         this->request_admission.OnReport(host->entry().id, shares);
       });
+  this->peers.SetLeavingHook(
+      [this](std::span<const TargetIncarnation> reported) {
+        this->targets.OnLeavingReport(reported);
+      });
+  this->targets.SetLeavingHook([this] { this->metrics.CountLeavingTarget(); });
 }
 
 bool RelayService::SetRoutes(std::shared_ptr<const RouteTable> newer) {
@@ -642,6 +647,10 @@
   }
   if (job->from_peer) {
     answer.head += this->request_admission.EncodeShares(/*refused=*/false);
+    const auto leaving = this->targets.LeavingTargetsOf(job->route->shards);
+    if (!leaving.empty()) {
+      answer.head += this->context.codec.encode_leaving(leaving);
+    }
   }
   this->Respond(*job, request.request_id(), std::move(answer));
 }
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -280,6 +280,7 @@
   if (!was_cold && this->state->Cold(now) && this->hooks.on_cold) {
     this->hooks.on_cold(this->state);
   }
+  this->ReportLeaving(*exchange, end.head);
   if (!end.head.admission.empty() && this->hooks.on_admission) {
     this->hooks.on_admission(this->state, end.head.admission);
   }
@@ -325,6 +326,19 @@
   }
 }
 
+// A reply that names no request, or that of another target at this address,
+// says nothing about the target.
+void TargetPool::ReportLeaving(const TargetExchange& exchange,
+                               const ReplyHead& head) const {
+  if (head.leaving && !head.request_id.empty() && !head.wrong_target &&
+      this->hooks.on_leaving) {
+    this->hooks.on_leaving(this->state, exchange.request->request_id);
+  }
+  if (!head.leaving_targets.empty() && this->hooks.on_leaving_report) {
+    this->hooks.on_leaving_report(head.leaving_targets);
+  }
+}
+
 void TargetPool::Remove(const TargetConnectionPtr& connection) {
   std::erase(this->all, connection);
 }
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -26,6 +26,13 @@
     /// Called with the shares that another entry host can answer. May be empty.
     std::function<void(const TargetPtr&, std::span<const AdmissionShare>)>
         on_admission;
+    /// Called when an answer to the request announces that the target leaves,
+    /// before the answer is passed on. May be empty.
+    std::function<void(const TargetPtr&, std::string_view request_id)>
+        on_leaving;
+    /// Called with the targets that another entry host names as leaving. May be
+    /// empty.
+    std::function<void(std::span<const TargetIncarnation>)> on_leaving_report;
     /// Called when a request is sent. May be empty.
     std::function<void(const TargetPtr&)> on_sent;
     /// Called when a request that was sent ends after `latency`, except if the
@@ -96,6 +103,8 @@
   void ReportAnswer(const TargetExchange& exchange,
                     bool success,
                     Duration latency) const;
+  void ReportLeaving(const TargetExchange& exchange,
+                     const ReplyHead& head) const;
   void CountLateExchange(const TargetConnection& connection,
                          bool lingered,
                          TimePoint now);
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -113,6 +113,11 @@
   if (entry.remaining_warm_up > milliseconds(0)) {
     state->SetColdUntil(this->context.clock.Now() + entry.remaining_warm_up);
   }
+  const TargetIncarnation incarnation = entry.Incarnation();
+  if (this->leaving.Contains(incarnation)) {
+    this->leaving.Retain(incarnation);
+    state->SetLeaving();
+  }
   TargetPool::Hooks hooks;
   hooks.on_wrong_target = [this](const TargetPtr& target) {
     // Only for the current pool: a retired one may still receive such replies.
@@ -129,6 +134,12 @@
       this->OnCold(*found->second);
     }
   };
+  hooks.on_leaving = [this](const TargetPtr& target,
+                            std::string_view request_id) {
+    if (!target->leaving()) {
+      this->OnLeaving(target->entry().Incarnation(), request_id);
+    }
+  };
   hooks.on_sent = [this](const TargetPtr& target) {
     if (this->rollouts != nullptr) {
       this->rollouts->OnSent(target->entry().service);
@@ -150,6 +161,63 @@
   }
 }
 
+void TargetTable::OnLeaving(const TargetIncarnation& incarnation,
+                            std::string_view request_id) {
+  if (!this->leaving.Add(incarnation, this->context.clock.Now())) {
+    return;
+  }
+  LogEvent(spdlog::level::info, "target_leaving",
+           {{"target", incarnation.id},
+            {"started_at_ms", incarnation.started_at_ms},
+            {"request", request_id}});
+  if (this->on_leaving) {
+    this->on_leaving();
+  }
+  const auto found = this->pools.find(incarnation.id);
+  if (found == this->pools.end() ||
+      found->second->target()->entry().Incarnation() != incarnation) {
+    return;  // an answer of an earlier incarnation
+  }
+  const PoolPtr pool = found->second;
+  this->leaving.Retain(incarnation);
+  pool->target()->SetLeaving();
+  this->UpdateVersions(pool->target()->entry().service);
+  this->UpdateAdmission(*pool);
+}
+
+void TargetTable::OnLeavingReport(std::span<const TargetIncarnation> reported) {
+  for (const TargetIncarnation& incarnation : reported) {
+    const auto found = this->pools.find(incarnation.id);
+    if (found == this->pools.end()) {
+      continue;
+    }
+    const TargetEntry& entry = found->second->target()->entry();
+    if (entry.started_at_ms == incarnation.started_at_ms) {
+      this->OnLeaving(entry.Incarnation(), /*request_id=*/"");
+    }
+  }
+}
+
+std::vector<TargetIncarnation> TargetTable::LeavingTargetsOf(
+    std::span<const std::string> services) const {
+  std::vector<TargetIncarnation> found;
+  if (this->leaving.empty()) {
+    return found;
+  }
+  for (const std::string& service : services) {
+    const auto list = this->by_service.find(service);
+    if (list == this->by_service.end()) {
+      continue;
+    }
+    for (const TargetPtr& target : list->second) {
+      if (target->leaving()) {
+        found.push_back(target->entry().Incarnation());
+      }
+    }
+  }
+  return found;
+}
+
 void TargetTable::LogAdded(const TargetEntry& entry) {
   LogEvent(spdlog::level::info, "target_added",
            {{"target", entry.id},
@@ -171,6 +239,8 @@
     this->by_service.erase(list);
   }
   this->cold_rates.erase(pool->target()->entry().id);
+  this->leaving.Release(pool->target()->entry().Incarnation(),
+                        this->context.clock.Now());
   this->pools.erase(found);
   this->retired.push_back(pool);
   pool->Retire();
@@ -260,7 +330,7 @@
     const TargetEntry& entry = target->entry();
     versions.push_back({.version = entry.version,
                         .started_at_ms = entry.started_at_ms,
-                        .draining = entry.draining});
+                        .draining = entry.draining || target->leaving()});
   }
   this->roles[std::string(service)] =
       VersionRoles(this->rollouts->PolicyOf(service), versions);
@@ -357,18 +427,20 @@
       static_cast<std::size_t>(share), 1, kMaxTargetConnections));
 }
 
-bool TargetTable::MayReceive(
+TargetAccess TargetTable::AccessTo(
     const TargetState& target,
     std::span<const std::string> allowed_regions) const {
   const TargetEntry& entry = target.entry();
-  if (entry.draining || this->evacuated.contains(entry.failure_domain) ||
-      !this->RolesOf(entry.service).MayReceive(entry.version)) {
-    return false;
-  }
-  return allowed_regions.empty() ||
-         std::find(allowed_regions.begin(), allowed_regions.end(),
-                   this->RegionOf(entry.failure_domain)) !=
-             allowed_regions.end();
+  return DecideAccess(
+      {.draining = entry.draining,
+       .leaving = target.leaving(),
+       .domain_evacuated = this->evacuated.contains(entry.failure_domain),
+       .version_in_use = this->RolesOf(entry.service).MayReceive(entry.version),
+       .region_allowed =
+           allowed_regions.empty() ||
+           std::find(allowed_regions.begin(), allowed_regions.end(),
+                     this->RegionOf(entry.failure_domain)) !=
+               allowed_regions.end()});
 }
 
 TargetPtr TargetTable::FindBest(std::string_view service,
@@ -580,6 +652,7 @@
   }
   const bool preconnect = now >= this->next_preconnect;
   if (preconnect) {
+    this->leaving.Expire(now);
     this->next_preconnect = now + kPreconnectInterval;
     this->UpdateConnectionShare();
   }
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -12,9 +12,11 @@
 #include "auburnyard/bundle_grouping.h"
 #include "auburnyard/cold_rate_limiter.h"
 #include "auburnyard/host_table.h"
+#include "auburnyard/leaving_targets.h"
 #include "auburnyard/placement.h"
 #include "auburnyard/rollout_table.h"
 #include "auburnyard/route_table.h"
+#include "auburnyard/target_access.h"
 #include "auburnyard/target_state.h"
 #include "src/relay/target_pool.h"
 
@@ -23,9 +25,9 @@
 /// Failure domains of the deployment, by name, with their regions.
 using DomainRegions = std::map<std::string, std::string, std::less<>>;
 
-/// All registered targets with their pools. Draining and evacuated targets are
-/// excluded only here, from the choice as well as from the requests that wait
-/// for a connection.
+/// All registered targets with their pools. Targets that may not receive
+/// requests are excluded only here, from the choice as well as from the
+/// requests that wait for a connection.
 class TargetTable {
  public:
   struct Location {
@@ -60,6 +62,24 @@
   void DeferRemovals();
   void SetEvacuated(std::string_view domain, bool evacuated);
   void ResetEvacuated(const std::set<std::string, std::less<>>& domains);
+  /// The incarnation announced that it leaves, in the answer to a request of
+  /// this host, or to another host if `request_id` is empty. Holds whatever the
+  /// store says of it.
+  void OnLeaving(const TargetIncarnation& incarnation,
+                 std::string_view request_id);
+  /// The same for targets that another entry host names, without addresses.
+  void OnLeavingReport(std::span<const TargetIncarnation> reported);
+  /// Registered targets of the services that announced that they leave.
+  std::vector<TargetIncarnation> LeavingTargetsOf(
+      std::span<const std::string> services) const;
+  /// Called once for each announcement that was not known.
+  void SetLeavingHook(std::function<void()> hook) {
+    this->on_leaving = std::move(hook);
+  }
+  /// Whether a request that is limited to the regions, if there are any, may be
+  /// sent to the target now.
+  TargetAccess AccessTo(const TargetState& target,
+                        std::span<const std::string> allowed_regions) const;
   /// Sets the limits per service; null until a configuration has been received.
   void SetRoutes(std::shared_ptr<const RouteTable> table);
 
@@ -128,9 +148,11 @@
   /// Returns the requests that wait for a target which has become cold.
   void OnCold(TargetPool& pool) const;
   bool MayReceive(const TargetState& target,
-                  std::span<const std::string> allowed_regions) const;
+                  std::span<const std::string> allowed_regions) const {
+    return this->AccessTo(target, allowed_regions) == TargetAccess::kAllowed;
+  }
   /// Passes on to the pool whether its target may receive requests. Called for
-  /// every change that MayReceive depends on.
+  /// every change that AccessTo depends on.
   void UpdateAdmission(TargetPool& pool) const;
   void UpdateAdmissions() const;
   void Add(const TargetEntry& entry);
@@ -157,6 +179,8 @@
   std::map<std::string, TimePoint, std::less<>> deferred_removals;
   std::map<std::string, ColdRateLimiter, std::less<>> cold_rates;  // by target
   std::set<std::string, std::less<>> evacuated;
+  LeavingTargets leaving;
+  std::function<void()> on_leaving;
   RolloutTable* rollouts = nullptr;
   std::function<bool()> in_contact;
   std::map<std::string, VersionRoles, std::less<>> roles;  // by service
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -348,6 +348,26 @@
   BOOST_TEST(head.find("X-Auburnyard-Parts-Missing: 2") != std::string::npos);
 }
 
+// Guards against targets that leave being lost, or others named, on the way
+// between two entry hosts.
+BOOST_AUTO_TEST_CASE(LeavingTargetsSurviveTheWay) {
+  const RelayCodec codec = platform::MakeRelayCodec();
+  const std::vector<TargetIncarnation> leaving = {
+      {.id = "i-7f3a", .started_at_ms = 1'733'000'000'123},
+      {.id = "odd,/id%", .started_at_ms = 0}};
+  const std::string line = codec.encode_leaving(leaving);
+  BeastResponse response;
+  response.set(
+      "Auburnyard-Leaving",
+      line.substr(line.find(' ') + 1, line.size() - 2 - line.find(' ') - 1));
+  BOOST_TEST((codec.decode_reply(response).leaving_targets == leaving));
+  BOOST_TEST(!codec.decode_reply(response).leaving);
+  response.set("Auburnyard-Leaving", "no-start,a/x,/,,b/12");
+  const auto decoded = codec.decode_reply(response).leaving_targets;
+  BOOST_REQUIRE(decoded.size() == 1U);
+  BOOST_TEST(decoded[0].id == "b");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/test/relay_process_test.cc
+++ b/test/relay_process_test.cc
@@ -116,6 +116,47 @@
   BOOST_TEST(fleet.target(0).arrivals() + fleet.target(1).arrivals() == before);
 }
 
+// Guards against requests to a target that announced in answers that it leaves,
+// while the store does not answer and cannot report it.
+BOOST_AUTO_TEST_CASE(LeavingTargetGetsNothingWhileTheStoreIsSilent) {
+  Fleet fleet(25'700);
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    BOOST_TEST(Eventually([&] { return fleet.Complete(host); }));
+  }
+  fleet.store().SetFault(util::StoreFault::kSilent);
+  fleet.target(0).faults.leaving = true;
+  fleet.target(1).faults.leaving = true;
+  // A host to which both have announced it has no target for the request.
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    BOOST_TEST(Eventually([&] {
+      return fleet.Get(host, "/one/x", fleet.NextId(), kDeadline).status == 503;
+    }));
+  }
+  const std::uint64_t before =
+      fleet.target(0).arrivals() + fleet.target(1).arrivals();
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    for (int i = 0; i < 5; ++i) {
+      BOOST_TEST(fleet.All(host).Header(platform::kPartsMissing) == "1");
+    }
+  }
+  BOOST_TEST(fleet.target(0).arrivals() + fleet.target(1).arrivals() == before);
+  fleet.store().SetFault(util::StoreFault::kNone);
+  // A report from before the announcement does not take it back.
+  fleet.Register(0);
+  fleet.Register(1);
+  fleet.PutRoutes(2);
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    BOOST_TEST(Eventually([&] { return fleet.InForce(host, 2); }));
+    BOOST_TEST(fleet.All(host).Header(platform::kPartsMissing) == "1");
+  }
+  BOOST_TEST(fleet.target(0).arrivals() + fleet.target(1).arrivals() == before);
+  fleet.target(0).Restart();
+  fleet.Register(0);
+  for (std::size_t host = 0; host < fleet.hosts(); ++host) {
+    BOOST_TEST(Eventually([&] { return fleet.Complete(host); }));
+  }
+}
+
 // Guards against a return to older routes, and against a host that cannot serve
 // during an outage of the store.
 BOOST_AUTO_TEST_CASE(RoutesSurviveAnOutageOfTheStore) {
--- a/test/target_table_test.cc
+++ b/test/target_table_test.cc
@@ -1,8 +1,12 @@
 #include "src/relay/target_table.h"
 
+#include <map>
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 
 #include "platform/relay_codec.h"
+#include "test/property.h"
 
 namespace auburnyard {
 
@@ -258,6 +262,82 @@
   }
 }
 
+// Guards against a choice of a target that announced that it leaves, and
+// against the loss of one that did not, in any order of announcements, reports,
+// lapses, resyncs and restarts.
+BOOST_AUTO_TEST_CASE(AnnouncementsHoldInAnyOrderOfEvents) {
+  const auto property = [] {
+    TableFixture fixture;
+    std::map<std::string, TargetEntry> registered;
+    std::map<std::string, std::int64_t> newest_start;
+    std::uint64_t sequence = 0;
+    std::set<TargetIncarnation> announced;
+    const auto register_again = [&](const std::string& id, bool restart) {
+      TargetEntry entry = TableFixture::Entry(id, "d1");
+      std::int64_t& start = newest_start[id];
+      start += restart || start == 0 ? 1'000 : 0;
+      entry.started_at_ms = start;
+      entry.sequence = ++sequence;
+      registered[id] = entry;
+      fixture.table.Upsert(entry);
+    };
+    const int steps = *rc::gen::inRange(5, 60);
+    for (int i = 0; i < steps; ++i) {
+      const std::string id = *rc::gen::element<std::string>("a", "b", "c");
+      switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+          register_again(id, /*restart=*/false);
+          break;
+        case 1:
+          register_again(id, /*restart=*/true);
+          break;
+        case 2:
+          registered.erase(id);
+          fixture.table.Remove(id);
+          break;
+        case 3: {
+          std::vector<TargetEntry> entries;
+          for (auto& [name, entry] : registered) {
+            entry.sequence = ++sequence;
+            entries.push_back(entry);
+          }
+          fixture.table.Reset(entries);
+          break;
+        }
+        case 4: {
+          // Possibly an answer of an earlier incarnation.
+          TargetIncarnation incarnation =
+              TableFixture::Entry(id, "d1").Incarnation();
+          incarnation.started_at_ms = std::max<std::int64_t>(
+              1'000, newest_start[id] - *rc::gen::inRange(0, 2) * 1'000);
+          announced.insert(incarnation);
+          fixture.table.OnLeaving(incarnation, "request");
+          break;
+        }
+        case 5:
+          fixture.table.OnLeavingReport(std::vector<TargetIncarnation>{
+              {.id = id, .started_at_ms = newest_start[id]}});
+          if (registered.contains(id)) {
+            announced.insert(registered.at(id).Incarnation());
+          }
+          break;
+        default:
+          fixture.AdvanceTime(milliseconds(*rc::gen::inRange(1, 4'000)));
+      }
+      std::set<std::string> expected;
+      for (const auto& [name, entry] : registered) {
+        if (!announced.contains(entry.Incarnation())) {
+          expected.insert(name);
+        }
+      }
+      const std::string chosen = fixture.Chosen();
+      RC_ASSERT(chosen.empty() == expected.empty());
+      RC_ASSERT(chosen.empty() || expected.contains(chosen));
+    }
+  };
+  BOOST_TEST(test::CounterExample(20261207, property) == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/util/relay_soak/soak.cc
+++ b/util/relay_soak/soak.cc
@@ -95,6 +95,7 @@
   }
   this->CheckExecutions();
   this->CheckAccount();
+  this->CheckLeavingTargets();
   for (std::string& text : this->configuration.Summarize()) {
     this->AddViolation(std::move(text));
   }
@@ -327,7 +328,7 @@
 void Soak::InjectTargetFault() {
   const std::size_t index = this->Pick(this->fleet.target_count());
   RelayTarget& target = this->fleet.target(index);
-  switch (this->Pick(7)) {
+  switch (this->Pick(9)) {
     case 0:
       ++this->fault_counts["target rejects toggled"];
       target.faults.rejects_requests = !target.faults.rejects_requests;
@@ -352,6 +353,15 @@
       ++this->fault_counts["route to a target reset"];
       this->fleet.SetTargetRoute(index, RouteState::kCut, kInjectedDelay);
       break;
+    case 6:
+      ++this->fault_counts["target leaves without a report"];
+      target.faults.leaving = true;
+      break;
+    case 7:
+      ++this->fault_counts["target leaves and drains"];
+      target.faults.leaving = true;
+      this->fleet.Register(index, /*draining=*/true);
+      break;
     default:
       ++this->fault_counts["route to a target dropped"];
       this->fleet.SetTargetRoute(index, RouteState::kDrop, kInjectedDelay);
@@ -391,6 +401,7 @@
     // Simulates a restart of the target: its new registration supersedes the
     // old one.
     this->fleet.Unregister(i);
+    target.Restart();
     this->fleet.Register(i);
   }
   for (std::size_t i = 0; i < this->fleet.hosts(); ++i) {
@@ -486,6 +497,19 @@
   }
 }
 
+// A host sends the next request on a connection only after the whole answer to
+// the one before, so that no time has to be allowed.
+void Soak::CheckLeavingTargets() {
+  for (std::size_t i = 0; i < this->fleet.target_count(); ++i) {
+    const RelayTarget& target = this->fleet.target(i);
+    if (target.ignored_announcements() > 0) {
+      this->AddViolation(std::to_string(target.ignored_announcements()) +
+                         " requests reached " + target.id() +
+                         " after it had announced that it leaves");
+    }
+  }
+}
+
 void Soak::CheckAccount() {
   std::vector<std::chrono::steady_clock::time_point> runs;
   for (std::size_t i = 0; i < this->fleet.target_count(); ++i) {
--- a/util/relay_soak/soak.h
+++ b/util/relay_soak/soak.h
@@ -76,6 +76,8 @@
   /// Checks that the limit of the account held in every window and that no
   /// target received its key.
   void CheckAccount();
+  /// Checks that targets which announced that they leave got nothing more.
+  void CheckLeavingTargets();
   void CallAsAccount();
   void AddViolation(std::string text);
   std::size_t Pick(std::size_t count);
--- a/util/relay_standin/relay_target.cc
+++ b/util/relay_standin/relay_target.cc
@@ -49,7 +49,18 @@
   this->server->AbortConnections();
 }
 
+void RelayTarget::Restart() {
+  const std::lock_guard lock(this->mutex);
+  ++this->started_at_ms;
+  this->reports = 0;
+  this->announced_connections.clear();
+  if (this->faults.leaving.exchange(false)) {
+    this->server->AbortConnections();
+  }
+}
+
 std::string RelayTarget::Registration(bool draining) {
+  const std::lock_guard lock(this->mutex);
   return boost::json::serialize(boost::json::object{
       {"service", this->service_name},
       {"address", "127.0.0.1:" + std::to_string(this->advertised_port)},
@@ -58,6 +69,7 @@
       {"slots", kSlots},
       {"state", draining ? "draining" : "ready"},
       {"warmup_left_ms", 0},
+      {"born", this->started_at_ms},
       {"seq_num", ++this->reports}});
 }
 
@@ -85,12 +97,12 @@
                          const HttpResponder& respond) {
   ++this->arrival_count;
   const std::string request_id(request.Header(platform::kRequestId));
-  const HttpHeaders identity = {
-      {std::string(platform::kRequestId), request_id}};
   if (request.Header(platform::kTarget) != this->name) {
-    respond({.status = kMisdirected, .headers = identity});
+    respond({.status = kMisdirected,
+             .headers = {{std::string(platform::kRequestId), request_id}}});
     return;
   }
+  const HttpHeaders identity = this->AnswerHeaders(request);
   if (this->faults.rejects_requests) {
     HttpResponse refusal{.status = kUnavailable, .headers = identity};
     refusal.headers.emplace_back(platform::kNotRun, "1");
@@ -117,6 +129,20 @@
       });
 }
 
+HttpHeaders RelayTarget::AnswerHeaders(const HttpRequest& request) {
+  HttpHeaders headers = {{std::string(platform::kRequestId),
+                          std::string(request.Header(platform::kRequestId))}};
+  const std::lock_guard lock(this->mutex);
+  if (this->announced_connections.contains(request.connection)) {
+    ++this->ignored_announcement_count;
+  }
+  if (this->faults.leaving) {
+    this->announced_connections.insert(request.connection);
+    headers.emplace_back(platform::kLeaving, "1");
+  }
+  return headers;
+}
+
 HttpResponse RelayTarget::Run(const std::string& request_id,
                               const std::string& account) {
   const std::lock_guard lock(this->mutex);
--- a/util/relay_standin/relay_target.h
+++ b/util/relay_standin/relay_target.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
     std::atomic<bool> rejects_requests{false};  ///< rejects before execution
     std::atomic<bool> fails_requests{false};    ///< executes and answers 500
     std::atomic<int> delay_ms{0};
+    std::atomic<bool> leaving{false};  ///< announces in answers that it leaves
   };
 
   RelayTarget(boost::asio::io_context& context,
@@ -39,6 +41,8 @@
   void Advertise(std::uint16_t port) { this->advertised_port = port; }
   /// Resets all connections and accepts no more.
   void Crash();
+  /// Ends this incarnation and starts the next one at the same address.
+  void Restart();
   /// Registration to write to the store.
   std::string Registration(bool draining = false);
 
@@ -54,11 +58,18 @@
   /// Whether a request had the key of a caller.
   bool received_key() const { return this->key_received.load(); }
   std::uint64_t arrivals() const { return this->arrival_count.load(); }
+  /// Requests on connections on which this incarnation had announced before
+  /// that it leaves.
+  std::uint64_t ignored_announcements() const {
+    return this->ignored_announcement_count.load();
+  }
   Faults faults;
 
  private:
   void Handle(const HttpRequest& request, const HttpResponder& respond);
   HttpResponse Run(const std::string& request_id, const std::string& account);
+  /// Headers of every answer to a request.
+  HttpHeaders AnswerHeaders(const HttpRequest& request);
 
   boost::asio::io_context& context;
   std::string name;
@@ -67,12 +78,15 @@
   std::shared_ptr<HttpServer> server;
   std::uint16_t advertised_port = 0;
   std::uint64_t reports = 0;
+  std::int64_t started_at_ms = 1'000;
   mutable std::mutex mutex;
   std::map<std::string, int> executed;
+  std::set<std::uint64_t> announced_connections;
   std::map<std::string, std::vector<std::chrono::steady_clock::time_point>>
       account_runs;
   std::atomic<bool> key_received{false};
   std::atomic<std::uint64_t> arrival_count{0};
+  std::atomic<std::uint64_t> ignored_announcement_count{0};
 };
 
 }  // namespace auburnyard::util
