--- a/util/experiment/child_process.cc
+++ b/util/experiment/child_process.cc
@@ -1,5 +1,8 @@
 #include "util/experiment/child_process.h"
 
+#include <fstream>
+#include <string_view>
+
 #include <csignal>
 #include <cstring>
 #include <ctime>
@@ -82,4 +85,18 @@
       std::chrono::nanoseconds(used.tv_nsec));
 }
 
+std::size_t ChildProcess::PeakMemory() const {
+  constexpr std::string_view kPeak = "VmHWM:";
+  constexpr std::size_t kKilobyte = 1'024;
+  std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kPeak)) {
+      return std::stoul(line.substr(kPeak.size())) * kKilobyte;
+    }
+  }
+  throw Error(
+      ErrorKind::kInternal,
+      "memory of process " + std::to_string(this->pid) + " cannot be read");
+}
+
 }  // namespace auburnyard::util
--- a/util/experiment/child_process.h
+++ b/util/experiment/child_process.h
@@ -27,6 +27,8 @@
   bool WaitForExit();
   /// Processor time that the process has used so far. Throws Error(kInternal).
   std::chrono::milliseconds ProcessorTime() const;
+  /// Peak of the resident memory in bytes. Throws Error(kInternal).
+  std::size_t PeakMemory() const;
 
  private:
   pid_t pid = -1;
--- a/util/relay_standin/relay_fleet.cc
+++ b/util/relay_standin/relay_fleet.cc
@@ -138,7 +138,7 @@
   for (std::size_t i = 0; i < std::min(kSeedHosts, this->hosts()); ++i) {
     mirrors.emplace_back("127.0.0.1:" + std::to_string(this->Port(i, 3)));
   }
-  const boost::json::object settings = {
+  boost::json::object settings = {
       {"host", "h" + std::to_string(host)},
       {"failure_domain", DomainOf(this->DomainIndex(host))},
       {"region", "r" + std::to_string(this->DomainIndex(host))},
@@ -164,6 +164,9 @@
       {"shutdown_time_s", 6},
       {"repeats", {{"ratio", 0.2}, {"burst", 60}, {"window_s", 10}}},
       {"cold_targets", {{"rate_factor", 1.5}, {"rate_margin", 5}}}};
+  if (this->options.memory_mb > 0) {
+    settings["memory_mb"] = this->options.memory_mb;
+  }
   const std::filesystem::path path =
       this->directory / ("h" + std::to_string(host) + ".json");
   std::ofstream(path) << boost::json::serialize(settings);
@@ -282,6 +285,31 @@
   this->store_standin->Remove("servers/" + this->targets.at(target)->id());
 }
 
+void RelayFleet::FloodService(std::size_t service,
+                              FloodShape shape,
+                              std::size_t count) {
+  this->flooded_service = service;
+  for (std::size_t i = 0; i < count; ++i) {
+    this->flood_targets.push_back(std::make_unique<FloodTarget>(
+        "s" + std::to_string(service), DomainOf(i), shape));
+    this->store_standin->Put("servers/flood" + std::to_string(i),
+                             this->flood_targets.back()->Registration());
+  }
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    this->Unregister(service * kReplicas + i);
+  }
+}
+
+void RelayFleet::EndFlood() {
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    this->Register(this->flooded_service * kReplicas + i);
+  }
+  for (std::size_t i = 0; i < this->flood_targets.size(); ++i) {
+    this->store_standin->Remove("servers/flood" + std::to_string(i));
+  }
+  this->flood_targets.clear();
+}
+
 void RelayFleet::Evacuate(std::size_t domain, bool evacuated) {
   const std::string key = "op/evacuate/" + DomainOf(domain);
   if (evacuated) {
--- a/util/relay_standin/relay_fleet.h
+++ b/util/relay_standin/relay_fleet.h
@@ -13,6 +13,7 @@
 
 #include "src/net/http_client.h"
 #include "util/experiment/child_process.h"
+#include "util/relay_standin/flood_target.h"
 #include "util/relay_standin/relay_target.h"
 #include "util/relay_standin/store_standin.h"
 #include "util/tcp_forwarder/route.h"
@@ -43,6 +44,8 @@
     std::filesystem::path log_directory;
     /// Timeout of all routes.
     std::chrono::milliseconds route_timeout{2'000};
+    /// Memory of each host; 0: not stated.
+    std::size_t memory_mb = 0;
   };
 
   explicit RelayFleet(Options options);
@@ -65,6 +68,15 @@
   std::chrono::milliseconds ProcessorTime(std::size_t host) const {
     return this->processes.at(host)->ProcessorTime();
   }
+  /// Peak of the resident memory in bytes. The host must be running.
+  std::size_t PeakMemory(std::size_t host) const {
+    return this->processes.at(host)->PeakMemory();
+  }
+  /// Replaces all targets of a service by ones that answer with bytes without
+  /// end.
+  void FloodService(std::size_t service, FloodShape shape, std::size_t count);
+  /// Ends the flood and registers the usual targets again.
+  void EndFlood();
   bool running(std::size_t host) const {
     return this->processes.at(host) != nullptr;
   }
@@ -145,6 +157,8 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   std::unique_ptr<StoreStandin> store_standin;
   std::vector<std::unique_ptr<RelayTarget>> targets;
+  std::vector<std::unique_ptr<FloodTarget>> flood_targets;
+  std::size_t flooded_service = 0;
   std::vector<std::shared_ptr<Route>> store_routes;   // by domain
   std::vector<std::shared_ptr<Route>> target_routes;  // by target
   std::vector<std::unique_ptr<ChildProcess>> processes;
