Bound the memory of all exchanges of a process together

What callers saw: reported by other operators, the process of a host ended with the requests of all its callers when targets sent bytes without end.

Cause: the bound of 8 MiB holds for each connection, and nothing bounded their sum.

Change: MemoryBudget counts what every exchange buffers: targets, peers, store, mirrors, quota servers, requests and slow readers among callers, and the host's own servers. Beyond a quarter of `memory_mb` (from the platform's limits, else the memory of the machine) the largest exchange of the source with most bytes is ended, logged and counted. Replies held for a bundle are cut to the records that the answer can contain; a failure above 64 KiB is not kept during a repeat.

Why it works: a source that floods holds the most, so that it is ended before sound ones, and memory no longer follows from the number of callers.

--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -198,6 +198,7 @@
   /// Retries parts that are missing from bundles, once it is certain that the
   /// answer needs them, or gives them up.
   void RetryOrGiveUpMissingParts(TimePoint now);
+  void TrimRecords(RelayReply& reply) const;
   void MergePart(Part& part, RelayReply reply);
   void MergeHeldReplies();
   bool MaySplit(const Bundle& bundle) const;
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -18,6 +18,9 @@
 // Tolerance for rounding errors in the comparison with the minimum coverage.
 constexpr double kCoverageTolerance = 1e-9;
 constexpr std::size_t kMaxDescribedParts = 3;
+// A failure of a single target is held while another one is tried, unless its
+// body is larger.
+constexpr std::size_t kMaxHeldBytes = 64 * 1024;
 
 }  // namespace
 
@@ -108,8 +111,13 @@
   const bool usable =
       merged ? reply.success() && !reply.signature.empty() : reply.status < 500;
   if (!usable) {
-    part.failure = std::move(reply);
+    if (!merged) {
+      part.failure = std::move(reply);
+    }
     this->RetryOrGiveUp(id.part, now);
+    if (part.failure && part.failure->body.size() > kMaxHeldBytes) {
+      part.failure.reset();
+    }
     return;
   }
   if (!merged) {
@@ -118,6 +126,7 @@
   }
   if (part.bundle != nullptr && part.bundle->open) {
     part.answered = true;
+    this->TrimRecords(reply);
     part.held_reply = std::move(reply);
   } else {
     this->MergePart(part, std::move(reply));
@@ -127,6 +136,16 @@
   this->CheckProgress(now);
 }
 
+// Replies that are held must not hold more than the answer can contain.
+void FanOut::TrimRecords(RelayReply& reply) const {
+  const std::size_t records = this->request_plan.route->top_records;
+  if (reply.body.size() > records * RecordMerger::kRecordBytes) {
+    RecordMerger greatest(records);
+    greatest.Add(reply.body);
+    reply.body = greatest.Take();
+  }
+}
+
 void FanOut::MergePart(Part& part, RelayReply reply) {
   part.answered = true;
   this->merger.Add(reply.body);
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -102,11 +102,34 @@
 void HttpConnection::ReadResponse() {
   this->parser.emplace();
   this->parser->body_limit(kMaxResponseBytes);
-  http::async_read(this->stream, this->buffer, *this->parser,
-                   [self = this->shared_from_this()](
-                       boost::beast::error_code error, std::size_t) {
-                     self->OnResponse(error);
-                   });
+  this->ReadSome();
+}
+
+void HttpConnection::ReadSome() {
+  http::async_read_some(this->stream, this->buffer, *this->parser,
+                        [self = this->shared_from_this()](
+                            boost::beast::error_code error, std::size_t) {
+                          self->UpdateCharge();
+                          if (!error && !self->parser->is_done()) {
+                            self->ReadSome();
+                            return;
+                          }
+                          self->OnResponse(error);
+                        });
+}
+
+void HttpConnection::ChargeTo(MemoryBudget* budget, std::string_view kind) {
+  this->charge.emplace(budget, this, kind,
+                       this->endpoint.address().to_string() + ":" +
+                           std::to_string(this->endpoint.port()),
+                       [this] { this->Close(); });
+}
+
+void HttpConnection::UpdateCharge() {
+  if (this->charge) {
+    this->charge->Set(this->parser->get().body().capacity() +
+                      this->buffer.capacity());
+  }
 }
 
 // The time-out covers informational responses and the final one together.
@@ -127,6 +150,9 @@
 
 void HttpConnection::Finish(ExchangeStage stage,
                             boost::beast::error_code error) {
+  if (this->charge) {
+    this->charge->Set(0);
+  }
   ExchangeResult result;
   result.stage = stage;
   if (error) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include "auburnyard/clock.h"
+#include "auburnyard/memory_budget.h"
 #include "src/net/http_message.h"
 
 namespace auburnyard {
@@ -52,6 +53,9 @@
   void EnableProbes(std::chrono::seconds interval) {
     this->probe_interval = interval;
   }
+  /// Counts what a response buffers. An exchange that has to free memory ends
+  /// with an error. `budget`: null if memory is not bounded.
+  void ChargeTo(MemoryBudget* budget, std::string_view kind);
   /// Connects if necessary, sends the call and reads the response. Any failure
   /// closes the connection.
   void Exchange(const HttpCall& call, Duration timeout, Callback callback);
@@ -62,6 +66,8 @@
   void SetSocketOptions();
   void Write();
   void ReadResponse();
+  void ReadSome();
+  void UpdateCharge();
   void OnResponse(boost::beast::error_code error);
   void Finish(ExchangeStage stage, boost::beast::error_code error);
 
@@ -81,6 +87,7 @@
   bool connected = false;
   int informational = 0;  // informational responses to the current call
   std::chrono::seconds probe_interval{0};  // 0: no probes
+  std::optional<MemoryCharge> charge;
 };
 
 }  // namespace auburnyard
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "auburnyard/memory_budget.h"
 #include "src/net/http_message.h"
 
 namespace auburnyard {
@@ -25,7 +26,8 @@
       10'000};  ///< for a request after its first bytes, and for writing a
                 ///< response
   std::chrono::milliseconds idle_timeout{
-      60'000};  ///< until the first bytes of a request
+      60'000};                     ///< until the first bytes of a request
+  MemoryBudget* memory = nullptr;  ///< for responses; null: not bounded
 };
 
 using HttpResponder = std::function<void(HttpResponse)>;
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -51,7 +51,12 @@
     : server(std::move(owner)),
       socket(std::move(accepted)),
       timer(this->socket.get_executor()),
-      ordinal(++this->server->accepted_count) {
+      ordinal(++this->server->accepted_count),
+      charge(this->server->limits.memory,
+             this,
+             "server",
+             "port " + std::to_string(this->server->port()),
+             [this] { this->Abort(); }) {
   ++this->server->connections;
 }
 
@@ -249,6 +254,7 @@
     this->response.set(name, value);
   }
   this->response.body() = std::move(reply.body);
+  this->charge.Set(this->response.body().capacity());
   this->response.keep_alive(!close);
   this->response.prepare_payload();
   this->StartTimer(this->server->limits.read_timeout);
@@ -260,6 +266,8 @@
 }
 
 void HttpSession::OnWritten(bool close, boost::beast::error_code error) {
+  this->response = {};
+  this->charge.Set(0);
   if (error || close) {
     this->Close();
     return;
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -58,6 +58,7 @@
   BeastResponse response;
   std::uint64_t requests = 0;
   std::uint64_t ordinal;  // of the connection at the server
+  MemoryCharge charge;
   bool keep_alive = true;
   bool responded = false;
   bool timed_out = false;
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -17,6 +17,9 @@
 // Limit of the pipelined bytes buffered while a request is in progress. Beyond
 // it the socket is not read until the response is sent.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+constexpr int kStatusUnavailable = 503;
+// Time in which the exchanges that hold the memory end.
+constexpr std::chrono::milliseconds kMemoryRetryAfter{500};
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -28,7 +31,11 @@
     : context(relay_context),
       socket(std::move(accepted)),
       limits(caller_limits),
-      hooks(session_hooks) {}
+      hooks(session_hooks),
+      charge(relay_context.memory, this, "caller", "", [this] {
+        const auto self = this->shared_from_this();
+        self->Evict();
+      }) {}
 
 void CallerSession::Start() {
   boost::beast::error_code ignored;
@@ -101,6 +108,7 @@
     this->OnMalformed(error);
     return;
   }
+  this->ChargeRequest();
   if (!complete) {
     if (this->parser->is_header_done() && !this->continue_sent) {
       this->SendContinue();
@@ -108,6 +116,7 @@
     return;
   }
   this->in_progress = true;
+  this->charge.SetEvictable(false);
   this->keep_alive = this->parser->keep_alive();
   CallerRequest request =
       this->context.codec.decode_request(this->parser->release());
@@ -115,6 +124,30 @@
   this->hooks.on_request(this->shared_from_this(), std::move(request));
 }
 
+// The first read buffer is part of the session itself.
+void CallerSession::ChargeRequest() {
+  this->charge.Set(this->parser->get().body().capacity() +
+                   this->buffer.capacity());
+}
+
+// A request that is being received has not run. A response that the caller does
+// not read fast enough cannot be completed. Other requests are with their
+// targets and hold only their bodies, which the limits of callers bound.
+void CallerSession::Evict() {
+  if (this->writing) {
+    this->Close();
+  } else if (!this->in_progress && !this->closed) {
+    this->in_progress = true;
+    this->NewParser();
+    this->buffer = {};
+    this->Write(
+        MakeRefusal(kStatusUnavailable,
+                    "the host has no memory for the request", "memory_limit",
+                    RunState::kNotRun, kMemoryRetryAfter),
+        /*close=*/true);
+  }
+}
+
 // A caller that sent "Expect: 100-continue" waits for this line before it sends
 // the body.
 void CallerSession::SendContinue() {
@@ -162,6 +195,9 @@
   if (this->head_method) {
     this->response_body.clear();
   }
+  this->writing = true;
+  this->charge.SetEvictable(true);
+  this->charge.Set(this->response_body.capacity() + this->buffer.capacity());
   const std::array<asio::const_buffer, 2> message = {
       asio::buffer(this->response_head), asio::buffer(this->response_body)};
   asio::async_write(this->socket, message,
@@ -176,9 +212,12 @@
 }
 
 void CallerSession::OnWritten(bool close) {
+  this->writing = false;
   if (this->closed) {
     return;
   }
+  this->response_body = {};
+  this->charge.Set(this->buffer.capacity());
   this->in_progress = false;
   this->waiting_since = this->context.clock.Now();
   if (close) {
@@ -218,6 +257,7 @@
     return;
   }
   this->closed = true;
+  this->charge.Set(0);
   const auto abandon = std::move(this->cancel);
   this->cancel = nullptr;
   boost::beast::error_code ignored;
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -59,6 +59,10 @@
   void SendContinue();
   void Write(CallerAnswer answer, bool close);
   void OnWritten(bool close);
+  /// Counts the bytes of the request as far as it was received.
+  void ChargeRequest();
+  /// Ends the request or the response to free memory.
+  void Evict();
 
   const RelayContext& context;
   boost::asio::ip::tcp::socket socket;
@@ -77,6 +81,8 @@
   bool continue_sent = false;
   bool keep_alive = true;
   bool head_method = false;
+  bool writing = false;
+  MemoryCharge charge;
   TimePoint waiting_since{};  // start of the idle time or of the request
 };
 
--- a/src/relay/mirror_reader.cc
+++ b/src/relay/mirror_reader.cc
@@ -51,6 +51,7 @@
     const HostPort address = ParseHostPort(mirror);
     this->connection = std::make_shared<HttpConnection>(
         this->context.io, address.host, address.port);
+    this->connection->ChargeTo(this->context.memory, "mirror");
   }
 }
 
--- a/src/relay/mirror_server.cc
+++ b/src/relay/mirror_server.cc
@@ -25,8 +25,10 @@
 
 void MirrorServer::Listen(const std::string& address) {
   const HostPort parsed = ParseHostPort(address);
+  HttpServerLimits limits;
+  limits.memory = this->context.memory;
   this->server = std::make_shared<HttpServer>(
-      this->context.io, HttpServerLimits(),
+      this->context.io, limits,
       [this](const HttpRequest& request, const HttpResponder& respond) {
         this->Handle(request, respond);
       });
--- a/src/relay/quota_server.cc
+++ b/src/relay/quota_server.cc
@@ -52,6 +52,7 @@
   const HostPort parsed = ParseHostPort(address);
   HttpServerLimits limits;
   limits.max_body_bytes = kMaxReportBytes;
+  limits.memory = this->context.memory;
   this->server = std::make_shared<HttpServer>(
       this->context.io, limits,
       [this](const HttpRequest& request, const HttpResponder& respond) {
@@ -144,6 +145,7 @@
       receiver.address = host.accounts_address;
       receiver.connection = std::make_shared<HttpConnection>(
           this->context.io, address.host, address.port);
+      receiver.connection->ChargeTo(this->context.memory, "quota");
     }
   }
   for (auto& [name, receiver] : this->receivers) {
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "auburnyard/clock.h"
+#include "auburnyard/memory_budget.h"
 #include "src/relay/relay_codec.h"
 
 namespace auburnyard {
@@ -13,6 +14,8 @@
   boost::asio::io_context& io;
   const Clock& clock;
   const RelayCodec& codec;
+  /// Of all exchanges of the process; null: not bounded.
+  MemoryBudget* memory = nullptr;
 };
 
 }  // namespace auburnyard
--- a/src/relay/relay_host.cc
+++ b/src/relay/relay_host.cc
@@ -4,6 +4,9 @@
 #include <functional>
 #include <utility>
 
+#include <unistd.h>
+#include <boost/asio/post.hpp>
+
 #include "src/net/log.h"
 
 namespace auburnyard {
@@ -21,6 +24,7 @@
 // first.
 constexpr milliseconds kPeerIdleTimeout{90'000};
 constexpr int kStatusUnavailable = 503;
+constexpr std::uint32_t kEvictionLinesPerSecond = 5;
 // Upper bound of the size of another failure domain relative to this one.
 constexpr double kMaxDomainSizeFactor = 1.5;
 constexpr std::chrono::seconds kBurstDivisionInterval{1};
@@ -39,6 +43,21 @@
           .window = settings.repeat_window};
 }
 
+// Share of the host's memory that all exchanges together may buffer. The rest
+// is for the program, the copy of the store and the first read buffer of each
+// connection, and for buffers that grow, which exist twice for a moment.
+constexpr std::size_t kExchangeMemoryDivisor = 4;
+
+std::size_t MemoryLimit(const RelaySettings& settings) {
+  constexpr std::size_t kMegabyte = 1'024 * 1'024;
+  const std::size_t memory =
+      settings.memory_mb > 0
+          ? settings.memory_mb * kMegabyte
+          : static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES)) *
+                static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  return memory / kExchangeMemoryDivisor;
+}
+
 LimitTolerance Tolerance(const AccountSettings& accounts) {
   return {.window = accounts.limit_window,
           .excess = accounts.limit_excess,
@@ -74,7 +93,8 @@
     : settings(std::move(host_settings)),
       settings_path(std::move(path)),
       adapter(std::move(host_adapter)),
-      context{this->io, this->clock, this->adapter.codec},
+      memory(MemoryLimit(this->settings), this->MemoryHooks()),
+      context{this->io, this->clock, this->adapter.codec, &this->memory},
       rollouts(this->settings.host_name, this->hosts),
       targets(this->context,
               {this->settings.failure_domain, this->settings.region},
@@ -108,7 +128,30 @@
       peer_server(this->context, this->ServerHooks(/*for_peers=*/true)),
       registration_choice(this->OwnEntry()),
       signals(this->io, SIGTERM, SIGINT, SIGHUP),
-      timer(this->io) {}
+      timer(this->io),
+      eviction_lines(kEvictionLinesPerSecond) {}
+
+MemoryBudget::Hooks RelayHost::MemoryHooks() {
+  MemoryBudget::Hooks hooks;
+  hooks.schedule_reclaim = [this] {
+    asio::post(this->io, [this] { this->memory.Reclaim(); });
+  };
+  hooks.on_evicted = [this](const MemoryBudget::Eviction& eviction) {
+    this->metrics.CountEviction(eviction.kind);
+    std::uint64_t omitted = 0;
+    if (this->eviction_lines.Allow(this->clock.Now(), omitted)) {
+      LogEvent(spdlog::level::warn, "memory_limit_reached",
+               {{"kind", eviction.kind},
+                {"name", eviction.name},
+                {"bytes", eviction.bytes},
+                {"source_bytes", eviction.source_bytes},
+                {"used", eviction.used},
+                {"limit", eviction.limit},
+                {"omitted", omitted}});
+    }
+  };
+  return hooks;
+}
 
 CallerServer::Hooks RelayHost::ServerHooks(bool for_peers) {
   CallerServer::Hooks hooks;
@@ -130,8 +173,10 @@
 
 void RelayHost::ListenForHealth() {
   const HostPort address = ParseHostPort(this->settings.readiness_address);
+  HttpServerLimits limits;
+  limits.memory = &this->memory;
   this->readiness = std::make_shared<HttpServer>(
-      this->io, HttpServerLimits(),
+      this->io, limits,
       [this](const HttpRequest&, const HttpResponder& respond) {
         const bool ready = !this->draining() && this->follower.synchronized();
         respond({.status = ready ? 200 : kStatusUnavailable, .body = "{}"});
@@ -139,12 +184,14 @@
   this->readiness->Listen(address.host, address.port);
   if (this->settings.metrics_port != 0) {
     this->metrics_server = std::make_shared<HttpServer>(
-        this->io, HttpServerLimits(),
+        this->io, limits,
         [this](const HttpRequest&, const HttpResponder& respond) {
           const auto& routes = this->service.routes();
           this->metrics.SetStoreState(this->follower.age(),
                                       routes == nullptr ? 0 : routes->version(),
                                       this->follower.revision());
+          this->metrics.SetBufferedBytes(this->memory.used(),
+                                         this->memory.limit());
           if (this->rollouts.enabled()) {
             this->metrics.SetRollouts(this->rollouts.CountStates());
           }
@@ -332,6 +379,7 @@
     this->service.SetBudgetLimits(BudgetLimits(changed));
     this->service.SetAdmissionMode(changed.admission);
     this->follower.SetChangeLimit(changed.change_limit);
+    this->memory.SetLimit(MemoryLimit(changed));
     if (this->quota_server != nullptr &&
         changed.accounts.limit_window > std::chrono::seconds(0)) {
       this->quota_server->SetTolerance(Tolerance(changed.accounts));
--- a/src/relay/relay_host.h
+++ b/src/relay/relay_host.h
@@ -12,6 +12,7 @@
 #include "auburnyard/shutdown_schedule.h"
 #include "src/net/http_server.h"
 #include "src/relay/caller_server.h"
+#include "src/relay/log_limiter.h"
 #include "src/relay/quota_client.h"
 #include "src/relay/quota_server.h"
 #include "src/relay/relay_settings.h"
@@ -39,6 +40,7 @@
   void Run();
 
  private:
+  MemoryBudget::Hooks MemoryHooks();
   CallerServer::Hooks ServerHooks(bool for_peers);
   void ListenForHealth();
   HostEntry OwnEntry() const;
@@ -63,6 +65,7 @@
   RelaySettings settings;
   std::string settings_path;
   RelayAdapter adapter;
+  MemoryBudget memory;  // before `io`, whose operations hold connections
   // Used by a single thread, so its locks are disabled.
   boost::asio::io_context io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
   Clock clock;
@@ -88,6 +91,7 @@
   bool was_ready = false;
   std::optional<ShutdownSchedule> shutdown;  // once it has begun
   TimePoint next_burst_division{};
+  LogLimiter eviction_lines;
 };
 
 }  // namespace auburnyard
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -111,6 +111,25 @@
   this->configuration_delay.Observe(age);
 }
 
+void RelayMetrics::CountEviction(std::string_view kind) {
+  this->all
+      .Counter("auburnyard_relay_memory_evictions_total",
+               "Exchanges ended because the process buffered too much.",
+               {{"kind", std::string(kind)}})
+      .Add();
+}
+
+void RelayMetrics::SetBufferedBytes(std::size_t used, std::size_t limit) {
+  this->all
+      .Gauge("auburnyard_relay_buffered_bytes",
+             "Bytes that all exchanges buffer.", {})
+      .Set(static_cast<double>(used));
+  this->all
+      .Gauge("auburnyard_relay_buffered_bytes_limit",
+             "Limit of the bytes that all exchanges buffer.", {})
+      .Set(static_cast<double>(limit));
+}
+
 void RelayMetrics::CountLeavingTarget() {
   this->all
       .Counter("auburnyard_relay_targets_leaving_total",
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -23,6 +23,10 @@
   void ObserveRequest(bool fans_out, Duration latency);
   /// Counts missing parts by cause.
   void CountLosses(const LossCounts& losses);
+  /// Counts an exchange that was ended because the process buffered too much.
+  void CountEviction(std::string_view kind);
+  /// Sets the bytes that all exchanges buffer, and their limit.
+  void SetBufferedBytes(std::size_t used, std::size_t limit);
   /// Counts a target that announced that it leaves.
   void CountLeavingTarget();
   /// Counts a decision on a request of an account with a limit.
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -14,6 +14,7 @@
 constexpr double kMaxRatio = 10;
 constexpr double kMaxBurst = 1'000'000;
 constexpr double kMaxCores = 1'024;
+constexpr std::uint64_t kMaxMemoryMb = 16 * 1'024 * 1'024;
 constexpr std::uint64_t kMaxPort = 65'535;
 
 std::chrono::seconds Seconds(const detail::JsonReader& reader,
@@ -69,7 +70,7 @@
   reader.AllowOnly({"host", "failure_domain", "region", "domain_regions",
                     "listen", "store", "shutdown_time_s", "repeats",
                     "cold_targets", "accounts", "admission", "rollouts",
-                    "cores", "log_level"});
+                    "cores", "memory_mb", "log_level"});
   RelaySettings settings;
   settings.host_name = reader.String("host");
   settings.failure_domain = reader.String("failure_domain");
@@ -83,6 +84,7 @@
     settings.domain_regions.emplace(domain, region.as_string());
   }
   settings.cores = reader.Number("cores", 0, kMaxCores, 1);
+  settings.memory_mb = reader.Integer("memory_mb", 1, kMaxMemoryMb, 0);
   const detail::JsonReader listen = reader.Child("listen");
   listen.AllowOnly(
       {"callers", "readiness", "peers", "mirror", "accounts", "metrics_port"});
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -36,6 +36,7 @@
   std::string region;
   std::map<std::string, std::string, std::less<>> domain_regions;
   double cores = 1;               ///< share of a processor
+  std::uint64_t memory_mb = 0;    ///< 0: all memory of the machine
   std::string callers_address;    ///< IP:port
   std::string readiness_address;  ///< IP:port
   std::string peers_address;      ///< IP:port for other entry hosts
--- a/src/relay/rollout_writer.cc
+++ b/src/relay/rollout_writer.cc
@@ -55,6 +55,7 @@
   if (this->idle.empty()) {
     connection = std::make_shared<HttpConnection>(
         this->context.io, this->store.host, this->store.port);
+    connection->ChargeTo(this->context.memory, "store");
   } else {
     connection = std::move(this->idle.back());
     this->idle.pop_back();
--- a/src/relay/store_registration.cc
+++ b/src/relay/store_registration.cc
@@ -43,6 +43,7 @@
   if (this->connection == nullptr) {
     this->connection = std::make_shared<HttpConnection>(
         this->context.io, this->store.host, this->store.port);
+    this->connection->ChargeTo(this->context.memory, "store");
   }
   this->connection->Exchange(
       call, kCallTimeout,
--- a/src/relay/store_watch.cc
+++ b/src/relay/store_watch.cc
@@ -153,6 +153,7 @@
   if (this->connection == nullptr) {
     this->connection = std::make_shared<HttpConnection>(
         this->context.io, this->store.host, this->store.port);
+    this->connection->ChargeTo(this->context.memory, "store");
     this->connection->EnableProbes(kProbeInterval);
   }
   this->called_at = this->context.clock.Now();
--- a/src/relay/target_connection.cc
+++ b/src/relay/target_connection.cc
@@ -1,5 +1,6 @@
 #include "src/relay/target_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -40,6 +41,28 @@
       socket(relay_context.io),
       hooks(std::move(connection_hooks)) {}
 
+void TargetConnection::ChargeTo(const void* source,
+                                std::string_view kind,
+                                std::string name) {
+  this->charge.emplace(this->context.memory, source, kind, std::move(name),
+                       [this] {
+                         const auto self = this->shared_from_this();
+                         self->Fail();
+                       });
+}
+
+// The first read buffer is not counted: each connection keeps one, so that
+// their number bounds them.
+void TargetConnection::UpdateCharge() {
+  if (!this->charge) {
+    return;
+  }
+  const bool busy = this->state == State::kBusy && this->parser;
+  const std::size_t body = busy ? this->parser->get().body().capacity() : 0;
+  this->charge->Set(body + this->buffer.capacity() -
+                    std::min(this->buffer.capacity(), kReadBytes));
+}
+
 void TargetConnection::Connect(const asio::ip::tcp::endpoint& endpoint) {
   this->state_since = this->context.clock.Now();
   this->socket.async_connect(endpoint, [self = this->shared_from_this()](
@@ -137,6 +160,7 @@
     return;
   }
   this->OnBytes();
+  this->UpdateCharge();
   if (this->state != State::kClosed) {
     this->Read();
   }
@@ -253,6 +277,9 @@
 
 void TargetConnection::Close() {
   this->state = State::kClosed;
+  if (this->charge) {
+    this->charge->Set(0);
+  }
   boost::beast::error_code ignored;
   this->socket.close(ignored);
 }
--- a/src/relay/target_connection.h
+++ b/src/relay/target_connection.h
@@ -39,6 +39,10 @@
 
   TargetConnection(const RelayContext& context, Hooks hooks);
 
+  /// Counts what the connection buffers together with that of other connections
+  /// of the same source. Must be called before Connect.
+  void ChargeTo(const void* source, std::string_view kind, std::string name);
+
   /// Enables TCP keep-alive, which closes an established connection when the
   /// remote machine no longer answers. Must be called before Connect.
   void EnableProbes(std::chrono::seconds interval) {
@@ -83,6 +87,7 @@
   /// Skips an informational reply, and fails after any other one.
   void OnNonFinalReply(const ReplyHead& head);
   void NewParser();
+  void UpdateCharge();
   void End(ExchangeEnd end, bool reusable);
   void Fail();
 
@@ -105,6 +110,7 @@
   int informational = 0;
   std::optional<TimePoint> unnamed_at;
   bool used_before = false;  // for an earlier exchange
+  std::optional<MemoryCharge> charge;
 };
 
 using TargetConnectionPtr = std::shared_ptr<TargetConnection>;
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -204,6 +204,9 @@
   auto connection =
       std::make_shared<TargetConnection>(this->context, std::move(callbacks));
   connection->EnableProbes(this->probe_interval);
+  connection->ChargeTo(this,
+                       this->probe_interval.count() > 0 ? "peer" : "target",
+                       this->state->entry().id);
   this->all.push_back(connection);
   connection->Connect(this->endpoint);
 }
--- a/test/relay_process_test.cc
+++ b/test/relay_process_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <csignal>
 #include <map>
 #include <mutex>
@@ -6,6 +7,7 @@
 
 #include "auburnyard/error.h"
 #include "platform/wire_names.h"
+#include "util/relay_soak/soak_caller.h"
 #include "util/relay_standin/relay_fleet.h"
 
 namespace auburnyard {
@@ -33,12 +35,14 @@
   explicit Fleet(std::uint16_t base_port,
                  std::size_t hosts_per_domain = 1,
                  milliseconds route_timeout = milliseconds(2'000),
-                 std::size_t extra_hosts = 0)
+                 std::size_t extra_hosts = 0,
+                 std::size_t memory_mb = 0)
       : RelayFleet({.program_directory = TEST_BINARY_DIR,
                     .base_port = base_port,
                     .hosts_per_domain = hosts_per_domain,
                     .extra_hosts = extra_hosts,
-                    .route_timeout = route_timeout}) {
+                    .route_timeout = route_timeout,
+                    .memory_mb = memory_mb}) {
     for (std::size_t i = 0; i < this->hosts(); ++i) {
       this->StartHost(i);
     }
@@ -157,6 +161,56 @@
   }
 }
 
+// Guards against a host that exhausts its memory with the bytes that all
+// targets of a service send without end, and so ends the requests of all
+// others.
+BOOST_AUTO_TEST_CASE(EndlessBytesStayWithinTheMemoryOfTheHost) {
+  constexpr std::size_t kMemoryMb = 160;
+  constexpr std::size_t kMegabyte = 1'024 * 1'024;
+  constexpr int kCallers = 80;
+  constexpr std::chrono::seconds kFlood{2};
+  Fleet fleet(25'800, /*hosts_per_domain=*/1, milliseconds(2'000),
+              /*extra_hosts=*/0, kMemoryMb);
+  for (const util::FloodShape shape :
+       {util::FloodShape::kChunked, util::FloodShape::kUntilClose,
+        util::FloodShape::kInformational, util::FloodShape::kHead}) {
+    fleet.FloodService(/*service=*/1, shape, /*count=*/4);
+    std::atomic<bool> stopping{false};
+    std::atomic<int> lost{0};
+    std::atomic<int> served{0};
+    {
+      std::vector<std::jthread> callers;
+      for (int i = 0; i < kCallers; ++i) {
+        callers.emplace_back([&, i] {
+          util::SoakCaller caller;
+          const bool sound = i < 2;
+          for (int n = 0; !stopping; ++n) {
+            const auto answer =
+                caller.Get(fleet.Address(0), sound ? "/one/x" : "/v1/x",
+                           std::string(util::ToString(shape)) +
+                               std::to_string(i) + "-" + std::to_string(n));
+            if (sound) {
+              ++(answer && answer->result_int() == 200 ? served : lost);
+            }
+          }
+        });
+      }
+      std::this_thread::sleep_for(kFlood);
+      stopping = true;
+    }
+    BOOST_TEST(served > 0, util::ToString(shape));
+    BOOST_TEST(lost == 0, util::ToString(shape));
+    BOOST_TEST(fleet.PeakMemory(0) < kMemoryMb * kMegabyte,
+               util::ToString(shape));
+    fleet.EndFlood();
+    BOOST_TEST(Eventually([&] { return fleet.Complete(0); }));
+  }
+  const std::string metrics = fleet.Metrics(0);
+  BOOST_TEST(metrics.find("memory_evictions_total{kind=\"target\"}") !=
+             std::string::npos);
+  BOOST_TEST(fleet.Log(0).find("memory_limit_reached") != std::string::npos);
+}
+
 // Guards against a return to older routes, and against a host that cannot serve
 // during an outage of the store.
 BOOST_AUTO_TEST_CASE(RoutesSurviveAnOutageOfTheStore) {
--- a/test/relay_service_fixture.h
+++ b/test/relay_service_fixture.h
@@ -3,12 +3,15 @@
 
 #include <atomic>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include <boost/asio/post.hpp>
+
 #include "platform/relay_codec.h"
 #include "platform/wire_names.h"
 #include "src/relay/relay_service.h"
@@ -103,10 +106,23 @@
     this->targets.Sweep();
   }
 
+  /// Not bounded unless a test sets a limit. Before the context, whose pending
+  /// operations hold connections.
+  MemoryBudget memory{std::numeric_limits<std::size_t>::max(),
+                      {.schedule_reclaim =
+                           [this] {
+                             boost::asio::post(
+                                 this->io, [this] { this->memory.Reclaim(); });
+                           },
+                       .on_evicted =
+                           [this](const MemoryBudget::Eviction& eviction) {
+                             this->evicted.emplace_back(eviction.name);
+                           }}};
+  std::vector<std::string> evicted;
   Clock clock;
   boost::asio::io_context io;
   RelayCodec codec = platform::MakeRelayCodec();
-  RelayContext context{this->io, this->clock, this->codec};
+  RelayContext context{this->io, this->clock, this->codec, &this->memory};
   HostTable hosts;
   TargetTable targets{this->context,
                       {"d1", "r1"},
