Close idle connections of callers without an answer to free memory

An idle connection whose buffer counts could be chosen to free memory and then got a 503, although no request waited for an answer.

Change: an idle connection is closed; only a request that is being received is refused.

Evidence: memory_limit_test/IdleConnectionIsClosedWithoutAnAnswer; the case was written with the fix and not run without it.

--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -131,10 +131,12 @@
 }
 
 // A request that is being received has not run. A response that the caller does
-// not read fast enough cannot be completed. Other requests are with their
-// targets and hold only their bodies, which the limits of callers bound.
+// not read fast enough cannot be completed, and an idle connection may be
+// closed at any time. Other requests are with their targets and hold only their
+// bodies, which the limits of callers bound.
 void CallerSession::Evict() {
-  if (this->writing) {
+  const bool idle = !this->in_progress && !this->request_started;
+  if (this->writing || idle) {
     this->Close();
   } else if (!this->in_progress && !this->closed) {
     this->in_progress = true;
--- a/test/memory_limit_test.cc
+++ b/test/memory_limit_test.cc
@@ -181,6 +181,18 @@
   BOOST_TEST(fixture.handled == 0);
 }
 
+// Guards against an answer on a connection on which no request waits for one.
+BOOST_AUTO_TEST_CASE(IdleConnectionIsClosedWithoutAnAnswer) {
+  CallerFixture fixture;
+  asio::ip::tcp::socket caller =
+      fixture.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(fixture.RunUntil([&fixture] { return fixture.handled == 1; }));
+  fixture.RunFor(milliseconds(50));
+  fixture.memory.SetLimit(0);
+  BOOST_TEST(fixture.ReadAll(caller).ends_with("zzzzzzzzzz"));
+  BOOST_TEST(fixture.evicted.size() == 1U);
+}
+
 // Guards against endless responses of the store, of mirrors and of quota
 // servers.
 BOOST_AUTO_TEST_CASE(EndlessResponseToACallEndsAtTheLimit) {
