Choose ports for the review's hosts below the outgoing ones

Cause: of ten runs of cases 11 and 12, two at a time, one could not start a host, because a client had taken its port. Change: ports of the hosts come from a range of their own.

--- a/review/standin-3/channel.cc
+++ b/review/standin-3/channel.cc
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cctype>
 #include <sstream>
 #include <utility>
 
 #include <sys/socket.h>
 #include <sys/time.h>
+#include <unistd.h>
 #include <boost/asio/write.hpp>
 
 namespace auburnyard::review {
@@ -191,11 +193,24 @@
   }).detach();
 }
 
+// Below the ports that the system gives to outgoing connections, and different
+// in each run.
 std::uint16_t FreePort() {
+  constexpr int kFirstPort = 12'000;
+  constexpr int kPorts = 18'000;
+  constexpr int kStep = 41;
+  static std::atomic<int> next{::getpid() * kStep};
   asio::io_context io;
-  tcp::acceptor acceptor(io,
-                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return acceptor.local_endpoint().port();
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    tcp::acceptor acceptor(io);
+    boost::system::error_code error;
+    acceptor.open(tcp::v4(), error);
+    acceptor.bind({asio::ip::address_v4::loopback(), port}, error);
+    if (!error) {
+      return port;
+    }
+  }
 }
 
 }  // namespace auburnyard::review
