--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -38,7 +38,7 @@
 // of their answers for 5 s, more than once.
 constexpr double kGarbledShare = 0.03;
 constexpr seconds kGarbleTime{5};
-constexpr int kGarbleCount = 4;
+constexpr int kGarbleCount = 8;
 constexpr std::size_t kGarbleServers = 5;
 constexpr std::size_t kGarbledServers = 3;
 // Largest dose of the site files: kind "srv_grey", share 0.14 of the servers,
