Withhold statuses of targets that would promise "not run"

Callers repeat such a request after 503, 429, 408 or 421, so that what it asked for happens twice.

Cause: a target's reply was returned as it is. Only its fields were read for what they say of the execution, never what its status tells the caller. The same question was answered in several places: refusals without an identifier, 503 of a peer, the status of a refused query (--settings), which followed from the error kind alone.

Change: status_promise.h decides, without I/O, what a status promises, what a reply proves and which status a caller may get. For a request that may run once, 408, 421, 429 and 503 of a target become a 502 of the host's own, unsigned (unconfirmed_refusal), logged (reply_withheld) and counted. An unnamed refusal counts only as the first reply on a new connection; a success that says it did not run and a signed 503 in place of a host's promise prove nothing. Stated refusals and requests that may be repeated are answered as before.

Stand-in targets answer with any failure status; the soak plays them and checks all four statuses.

--- a/include/auburnyard/error.h
+++ b/include/auburnyard/error.h
@@ -40,6 +40,7 @@
   kInternal,
   kAnswerTooLarge,
   kCheckFailed,
+  kUnconfirmedRefusal,
 };
 
 /// Whether the work of a refused request was executed.
--- a/include/auburnyard/fan_out.h
+++ b/include/auburnyard/fan_out.h
@@ -74,6 +74,9 @@
   std::vector<std::string> missing_services;  // kMerged: their services
   ErrorKind error = ErrorKind::kInternal;     // kRefusal
   RunState run = RunState::kNotRun;           // kRefusal
+  /// kRefusal: status of a target's reply that is not returned, because the
+  /// status would be a false promise; 0: none.
+  int withheld_status = 0;
 };
 
 struct FanOutPlan {
@@ -224,7 +227,7 @@
   /// Answers with the parts received so far.
   void FinishMerged();
   void FinishReply(RelayReply reply);
-  void FinishRefusal(ErrorKind error);
+  void FinishRefusal(ErrorKind error, int withheld_status = 0);
   void Finish(FanOutResult result);
   void AbandonOpen();
   RunState State() const;
--- a/include/auburnyard/query.h
+++ b/include/auburnyard/query.h
@@ -52,8 +52,11 @@
   RunState run = RunState::kUnknown;
   std::string detail;
   std::string decision;
+  bool idempotent = false;  ///< the caller may repeat the request in any case
 };
 
+/// HTTP status of a refusal.
+int StatusOf(const Refusal& refusal);
 std::string SerializeAnswer(const Answer& answer);
 /// Problem details (RFC 9457).
 std::string SerializeRefusal(const Refusal& refusal);
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -14,7 +14,7 @@
 constexpr int kExitConflict = 5;
 constexpr int kExitInternal = 70;
 
-constexpr std::array<ErrorDescription, 27> kErrors = {{
+constexpr std::array<ErrorDescription, 28> kErrors = {{
     {ErrorKind::kBadRequest, "bad_request", 400, "The request is malformed",
      kExitUsage},
     {ErrorKind::kNotFound, "not_found", 404, "The resource does not exist",
@@ -69,6 +69,8 @@
      "The merged answer exceeds its limit", kExitRefused},
     {ErrorKind::kCheckFailed, "check_failed", 500,
      "The check found differences", kExitDifferent},
+    {ErrorKind::kUnconfirmedRefusal, "unconfirmed_refusal", 502,
+     "A target refused the request and may have run it", kExitUnavailable},
 }};
 
 constexpr std::array<std::string_view, 3> kRunStates = {"not_run", "unknown",
--- a/src/core/fan_out.cc
+++ b/src/core/fan_out.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "auburnyard/status_promise.h"
+
 namespace auburnyard {
 
 namespace {
@@ -108,6 +110,12 @@
     return;
   }
   const bool merged = this->request_plan.route->fans_out();
+  if (!merged &&
+      !MayReturnStatus(reply.status, this->request_plan.route->idempotent)) {
+    this->CountLosses(now);
+    this->FinishRefusal(ErrorKind::kUnconfirmedRefusal, reply.status);
+    return;
+  }
   const bool usable =
       merged ? reply.success() && !reply.signature.empty() : reply.status < 500;
   if (!usable) {
@@ -347,9 +355,10 @@
   this->Finish(std::move(result));
 }
 
-void FanOut::FinishRefusal(ErrorKind error) {
+void FanOut::FinishRefusal(ErrorKind error, int withheld_status) {
   FanOutResult result;
   result.error = error;
+  result.withheld_status = withheld_status;
   // Abandons queued attempts first, because they affect the reported run state.
   this->AbandonOpen();
   result.run = this->State();
--- a/src/core/fan_out_bundles.cc
+++ b/src/core/fan_out_bundles.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "auburnyard/fan_out.h"
+#include "auburnyard/status_promise.h"
 
 namespace auburnyard {
 
@@ -12,8 +13,6 @@
 // An entry host answers by the requested time with the parts it has received,
 // so that a later reply indicates a problem with the host or the network.
 constexpr milliseconds kBundleGrace{15};
-// With this status an entry host guarantees that no target ran the request.
-constexpr int kStatusNotRun = 503;
 
 }  // namespace
 
@@ -95,10 +94,11 @@
       reply.success() && answered > 0 && answered <= bundle.parts.size() &&
       reply.top_records == this->request_plan.route->top_records;
   if (!usable) {
-    this->OnBundleFailure(index,
-                          reply.status == kStatusNotRun ? PartFailure::kRefused
-                                                        : PartFailure::kLost,
-                          now);
+    // Only a target signs its replies, and its status is no promise.
+    const bool not_run =
+        PromisesNotRun(reply.status) && reply.signature.empty();
+    this->OnBundleFailure(
+        index, not_run ? PartFailure::kRefused : PartFailure::kLost, now);
     return;
   }
   bundle.open = false;
--- a/src/core/query.cc
+++ b/src/core/query.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json/serialize.hpp>
 
+#include "auburnyard/status_promise.h"
 #include "src/core/json_reader.h"
 
 namespace auburnyard {
@@ -62,12 +63,16 @@
       {"knowledge_age_ms", answer.configuration_age.count()}});
 }
 
+int StatusOf(const Refusal& refusal) {
+  return RefusalStatus(refusal.kind, refusal.run, refusal.idempotent);
+}
+
 std::string SerializeRefusal(const Refusal& refusal) {
   const ErrorDescription& description = DescribeError(refusal.kind);
   return boost::json::serialize(boost::json::object{
       {"type", "urn:auburnyard:error:" + std::string(description.name)},
       {"title", description.title},
-      {"status", description.http_status},
+      {"status", StatusOf(refusal)},
       {"detail", refusal.detail},
       {"kind", description.name},
       {"run", ToString(refusal.run)},
--- a/src/core/query_completion.cc
+++ b/src/core/query_completion.cc
@@ -203,6 +203,7 @@
   refusal.decision = this->decision_id;
   refusal.run = this->attempts.CombinedRunState();
   refusal.kind = this->RefusalKind(refusal.run);
+  refusal.idempotent = this->request.idempotent;
   refusal.detail = "coverage " + std::to_string(fraction) +
                    " of the required " +
                    std::to_string(this->RequiredCoverage()) + " was reached";
--- a/src/daemon/router.cc
+++ b/src/daemon/router.cc
@@ -36,7 +36,7 @@
 
 HttpResponse MakeRefusal(const Refusal& refusal) {
   HttpResponse response;
-  response.status = DescribeError(refusal.kind).http_status;
+  response.status = StatusOf(refusal);
   response.content_type = "application/problem+json";
   response.body = SerializeRefusal(refusal);
   return response;
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -64,6 +64,15 @@
       .Add();
 }
 
+void RelayMetrics::CountWithheldReply(int status) {
+  this->all
+      .Counter("auburnyard_relay_withheld_replies_total",
+               "Replies of targets that were not returned, because their "
+               "status would promise that the request has not run.",
+               {{"status", std::to_string(status)}})
+      .Add();
+}
+
 void RelayMetrics::CountRepeat(AttemptPurpose purpose, bool granted) {
   if (purpose == AttemptPurpose::kHedge) {
     (granted ? this->hedges : this->hedges_denied).Add();
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -19,6 +19,8 @@
 
   void CountAnswer(bool complete);
   void CountRefusal(std::string_view kind);
+  /// Counts a target's reply that was not returned, by its status.
+  void CountWithheldReply(int status);
   void CountRepeat(AttemptPurpose purpose, bool granted);
   void ObserveRequest(bool fans_out, Duration latency);
   /// Counts missing parts by cause.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -7,6 +7,7 @@
 #include <boost/json/object.hpp>
 
 #include "auburnyard/request_priority.h"
+#include "auburnyard/status_promise.h"
 #include "src/net/log.h"
 
 namespace auburnyard {
@@ -31,6 +32,7 @@
 // Bounds the memory of a host that is asked by many callers at its start.
 constexpr std::size_t kMaxHeldRequests = 256;
 constexpr std::uint32_t kOutcomeLinesPerSecond = 20;
+constexpr std::uint32_t kWithheldLinesPerSecond = 100;
 constexpr std::uint64_t kRandomSeed = 20261204;
 
 // Fewer parts of a remote failure domain are fetched directly.
@@ -51,8 +53,6 @@
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
-constexpr int kStatusBadGateway = 502;
-constexpr int kStatusGatewayTimeout = 504;
 
 boost::json::object DescribeLosses(const LossCounts& losses) {
   boost::json::object parts;
@@ -114,6 +114,7 @@
       budget_limits(limits),
       random(kRandomSeed),
       outcome_lines(kOutcomeLinesPerSecond),
+      withheld_lines(kWithheldLinesPerSecond),
       request_admission(relay_context, target_table, relay_metrics) {
   this->peers.SetAdmissionHook(
       [this](const TargetPtr& host, std::span<const AdmissionShare> shares) {
@@ -629,6 +630,9 @@
     this->metrics.CountAnswer(result.missing_parts == 0);
   }
   this->metrics.CountLosses(request.fan_out().losses());
+  if (result.withheld_status != 0) {
+    this->OnReplyWithheld(*job, request, result);
+  }
   const bool failed =
       result.kind == FanOutResult::Kind::kRefusal ||
       (result.kind == FanOutResult::Kind::kReply && !result.reply.success());
@@ -655,6 +659,22 @@
   this->Respond(*job, request.request_id(), std::move(answer));
 }
 
+void RelayService::OnReplyWithheld(const RelayJob& job,
+                                   const RelayedRequest& request,
+                                   const FanOutResult& result) {
+  this->metrics.CountWithheldReply(result.withheld_status);
+  std::uint64_t omitted = 0;
+  if (this->withheld_lines.Allow(this->context.clock.Now(), omitted)) {
+    LogEvent(spdlog::level::warn, "reply_withheld",
+             {{"request", request.request_id()},
+              {"route", job.route->name},
+              {"target_status", result.withheld_status},
+              {"status", FailureStatus(result.error, result.run)},
+              {"targets", request.fan_out().DescribeMissing()},
+              {"omitted", omitted}});
+  }
+}
+
 void RelayService::LogOutcome(const RelayJob& job,
                               const RelayedRequest& request,
                               const FanOutResult& result,
@@ -672,7 +692,8 @@
             {"from_peer", job.from_peer},
             {"kind", refused ? DescribeError(result.error).name : "answered"},
             {"run", ToString(result.run)},
-            {"target_status", result.reply.status},
+            {"target_status",
+             refused ? result.withheld_status : result.reply.status},
             {"missing", result.missing_parts},
             {"parts", request.fan_out().plan().services.size()},
             {"causes", DescribeLosses(request.fan_out().losses())},
@@ -696,23 +717,17 @@
   return this->MakeFailure(job, result);
 }
 
-// 503 guarantees that the request has not run and will not run; 502 and 504
-// leave it open.
 CallerAnswer RelayService::MakeFailure(const RelayJob& job,
                                        const FanOutResult& result) {
   const ErrorDescription& description = DescribeError(result.error);
+  milliseconds retry_after{0};
   if (result.run == RunState::kNotRun) {
-    return MakeRefusal(kStatusUnavailable, description.title, description.name,
-                       result.run,
-                       result.error == ErrorKind::kOverloaded
-                           ? this->request_admission.RetryAfter(job, 0)
-                           : this->RetryAfter());
-  }
-  const int status = result.error == ErrorKind::kDeadlineExceeded
-                         ? kStatusGatewayTimeout
-                         : kStatusBadGateway;
-  return MakeRefusal(status, description.title, description.name, result.run,
-                     milliseconds(0));
+    retry_after = result.error == ErrorKind::kOverloaded
+                      ? this->request_admission.RetryAfter(job, 0)
+                      : this->RetryAfter();
+  }
+  return MakeRefusal(FailureStatus(result.error, result.run), description.title,
+                     description.name, result.run, retry_after);
 }
 
 }  // namespace auburnyard
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -137,6 +137,10 @@
               const Responder& respond);
   CallerAnswer MakeAnswer(const RelayJob& job, const FanOutResult& result);
   CallerAnswer MakeFailure(const RelayJob& job, const FanOutResult& result);
+  /// Counts and logs a target's reply that was not returned to the caller.
+  void OnReplyWithheld(const RelayJob& job,
+                       const RelayedRequest& request,
+                       const FanOutResult& result);
   void LogOutcome(const RelayJob& job,
                   const RelayedRequest& request,
                   const FanOutResult& result,
@@ -168,6 +172,7 @@
       work_estimates;  // by objective and number of records
   std::mt19937_64 random;
   LogLimiter outcome_lines;
+  LogLimiter withheld_lines;
   std::function<bool()> is_outdated = [] { return false; };
   std::function<bool()> is_revocation_unknown = [] { return false; };
   AccountAdmission account_admission;
--- a/src/relay/target_connection.cc
+++ b/src/relay/target_connection.cc
@@ -192,7 +192,12 @@
     this->OnNonFinalReply(end.head);
     return;
   }
-  if (!this->AnswersExchange(end.head)) {
+  const ReplyMeaning meaning = this->MeaningOfReply(end.head);
+  if (meaning == ReplyMeaning::kContradiction) {
+    this->Fail();
+    return;
+  }
+  if (meaning == ReplyMeaning::kUnrelated) {
     const bool named = !end.head.request_id.empty();
     if (!named && !this->used_before) {
       this->Fail();  // only a refusal may omit the request identifier
@@ -224,14 +229,16 @@
   this->End(std::move(end), reusable);
 }
 
-// A refusal without an identifier counts only on a connection on which no other
-// request was sent: after another one it may be a late reply to that, while the
-// target runs the current request.
-bool TargetConnection::AnswersExchange(const ReplyHead& head) const {
-  if (head.request_id.empty()) {
-    return head.refused && !this->used_before;
-  }
-  return head.request_id == this->current->request->request_id;
+ReplyMeaning TargetConnection::MeaningOfReply(const ReplyHead& head) const {
+  const bool named = !head.request_id.empty();
+  return MeaningOf({
+      .status = head.status,
+      .refusal_stated = head.refused,
+      .names_request =
+          named && head.request_id == this->current->request->request_id,
+      .names_any_request = named,
+      .first_on_connection = !this->used_before && this->discarded == 0,
+  });
 }
 
 // A reply with a request identifier claims to be the last one. With a status
--- a/src/relay/target_connection.h
+++ b/src/relay/target_connection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "auburnyard/status_promise.h"
 #include "src/relay/relay_context.h"
 #include "src/relay/target_exchange.h"
 
@@ -80,8 +81,7 @@
   void OnRead(boost::beast::error_code error, std::size_t size);
   void OnBytes();
   void OnMessage();
-  /// Whether a reply belongs to the current exchange.
-  bool AnswersExchange(const ReplyHead& head) const;
+  ReplyMeaning MeaningOfReply(const ReplyHead& head) const;
   /// Reads on after a reply that belongs to another request.
   void SkipReply(bool needs_eof);
   /// Skips an informational reply, and fails after any other one.
--- a/test/fan_out_bundle_test.cc
+++ b/test/fan_out_bundle_test.cc
@@ -235,6 +235,22 @@
   BOOST_TEST(fixture.repeats_taken == 0);
 }
 
+// Guards against the status of a target that answers at the address of an entry
+// host and is taken for the promise of that host.
+BOOST_AUTO_TEST_CASE(SignedRefusalOfABundleProvesNothing) {
+  BundleFixture fixture;
+  fixture.replica_count = 3;
+  fixture.route.min_coverage = 1;
+  fixture.Start();
+  fixture.fan_out->OnBundleSent(0);
+  RelayReply reply;
+  reply.status = 503;
+  reply.signature = "signature";
+  fixture.fan_out->OnBundleReply(0, std::move(reply), FanOutFixture::At(5));
+  BOOST_REQUIRE_EQUAL(fixture.results.size(), 1U);
+  BOOST_TEST((fixture.results.front().run == RunState::kUnknown));
+}
+
 // Guards against executions at more targets than the route allows: the lost
 // host may have used two, and a third one is available.
 BOOST_AUTO_TEST_CASE(LostBundleIsNotRepeatedIfMoreTargetsExist) {
--- a/test/fan_out_property_test.cc
+++ b/test/fan_out_property_test.cc
@@ -1,5 +1,8 @@
+#include <array>
+
 #include <boost/test/unit_test.hpp>
 
+#include "auburnyard/status_promise.h"
 #include "test/fan_out_fixture.h"
 #include "test/property.h"
 
@@ -15,6 +18,7 @@
   std::uint32_t extra_arrivals = 0;
   std::size_t results = 0;
   bool reported_not_run = false;
+  bool returned_promise = false;  // the status of a target's reply
   int repeats_taken = 0;
 };
 
@@ -36,6 +40,9 @@
   if (history.reported_not_run && executed > 0) {
     return "request reported as not run was executed";
   }
+  if (!route.idempotent && history.returned_promise) {
+    return "a target's status promises that the request has not run";
+  }
   if (history.extra_arrivals >
       static_cast<std::uint32_t>(history.repeats_taken)) {
     return "repeat without budget";
@@ -94,7 +101,10 @@
     if (step % 3 == 1) {
       fixture.Fail(index, PartFailure::kLost, now);
     } else {
-      fixture.Reply(index, now, step % 2 == 0 ? 200 : 500);
+      constexpr std::array<int, 6> kStatuses = {200, 500, 503, 429, 408, 404};
+      fixture.Reply(index, now,
+                    kStatuses.at(static_cast<std::size_t>(step / 3) %
+                                 kStatuses.size()));
     }
   }
   fan_out.OnTimer(FanOutFixture::At(900));
@@ -104,6 +114,10 @@
       !fixture.results.empty() &&
       fixture.results.front().kind == FanOutResult::Kind::kRefusal &&
       fixture.results.front().run == RunState::kNotRun;
+  history.returned_promise =
+      !fixture.results.empty() &&
+      fixture.results.front().kind == FanOutResult::Kind::kReply &&
+      PromisesNotRun(fixture.results.front().reply.status);
   return history;
 }
 
@@ -135,6 +149,7 @@
   BOOST_TEST(!ViolatedInvariant({.executions = {{0, 3}}}, route).empty());
   BOOST_TEST(!ViolatedInvariant({.extra_arrivals = 1}, route).empty());
   BOOST_TEST(!ViolatedInvariant({.results = 2}, route).empty());
+  BOOST_TEST(!ViolatedInvariant({.returned_promise = true}, route).empty());
   BOOST_TEST(!ViolatedInvariant(
                   {.executions = {{0, 1}}, .reported_not_run = true}, route)
                   .empty());
--- a/test/fan_out_test.cc
+++ b/test/fan_out_test.cc
@@ -175,6 +175,31 @@
   BOOST_TEST(fixture.results.front().reply.status == 500);
 }
 
+// Guards against a target's status that the caller takes for a promise of the
+// host, after other targets refused the request truthfully.
+BOOST_AUTO_TEST_CASE(StatusThatPromisesIsWithheld) {
+  for (const int status : {408, 421, 429, 503}) {
+    for (const bool idempotent : {false, true}) {
+      FanOutFixture fixture(1, /*fans_out=*/false);
+      fixture.route.idempotent = idempotent;
+      fixture.Start();
+      fixture.SendAll();
+      fixture.Fail(0, PartFailure::kRefused, 5);
+      fixture.SendAll();
+      fixture.Reply(1, 10, status);
+      BOOST_REQUIRE_EQUAL(fixture.results.size(), 1U);
+      const FanOutResult& result = fixture.results.front();
+      BOOST_TEST((result.kind == (idempotent ? Kind::kReply : Kind::kRefusal)));
+      if (!idempotent) {
+        BOOST_TEST((result.error == ErrorKind::kUnconfirmedRefusal));
+        BOOST_TEST((result.run == RunState::kUnknown));
+        BOOST_TEST(result.withheld_status == status);
+        BOOST_TEST(result.reply.signature.empty());
+      }
+    }
+  }
+}
+
 // Guards against an error reply that is merged like a part.
 BOOST_AUTO_TEST_CASE(FailureReplyIsNotMerged) {
   FanOutFixture fixture(2);
--- a/test/query_machine_test.cc
+++ b/test/query_machine_test.cc
@@ -312,6 +312,27 @@
   BOOST_TEST(fixture.notes == "retry_budget_empty ");
 }
 
+// Guards against a refusal whose status says that nothing ran, although a part
+// of a request that may run once has.
+BOOST_AUTO_TEST_CASE(StatusOfAPartlyRunRequestPromisesNothing) {
+  for (const bool idempotent : {false, true}) {
+    Fixture fixture({"a", "b"});
+    fixture.request.idempotent = idempotent;
+    fixture.request.min_coverage = 1;
+    fixture.retries = 0;
+    fixture.Start();
+    fixture.machine->OnDispatched("q.0", At(1));
+    fixture.machine->OnResult("q.0", {"S1", {0, 10}, {"0"}}, At(2));
+    const std::vector<QueryAction> actions = fixture.machine->OnFailure(
+        "q.1", {Reason::kQueueFull, RunState::kNotRun}, At(3));
+    BOOST_REQUIRE(!actions.empty());
+    const auto* finish = std::get_if<FinishWithRefusal>(&actions.back());
+    BOOST_REQUIRE(finish != nullptr);
+    BOOST_TEST((finish->refusal.run == RunState::kRun));
+    BOOST_TEST(StatusOf(finish->refusal) == (idempotent ? 503 : 502));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard::test
--- a/test/relay_process_test.cc
+++ b/test/relay_process_test.cc
@@ -1,3 +1,4 @@
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <map>
@@ -6,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "auburnyard/error.h"
+#include "auburnyard/status_promise.h"
 #include "platform/wire_names.h"
 #include "util/relay_soak/soak_caller.h"
 #include "util/relay_standin/relay_fleet.h"
@@ -396,15 +398,17 @@
 // Guards against a second execution after lost answers or failures of targets.
 BOOST_AUTO_TEST_CASE(NonIdempotentRequestsRunAtMostOnce) {
   Fleet fleet(25'500);
-  fleet.target(0).faults.fails_requests = true;
   fleet.target(1).faults.rejects_requests = true;
   for (int i = 0; i < 20; ++i) {
+    constexpr std::array<int, 4> kStatuses = {500, 503, 429, 408};
+    fleet.target(0).faults.failure_status =
+        kStatuses.at(static_cast<std::size_t>(i) % kStatuses.size());
     const std::string id = fleet.NextId();
     const HttpResponse answer = fleet.Get(0, "/one/x", id, kDeadline);
     const int runs = static_cast<int>(fleet.target(0).executions().count(id) +
                                       fleet.target(1).executions().count(id));
     BOOST_TEST(runs <= 1);
-    if (answer.status == 503) {
+    if (PromisesNotRun(answer.status)) {
       BOOST_TEST(runs == 0);
     }
   }
--- a/test/target_pool_test.cc
+++ b/test/target_pool_test.cc
@@ -311,6 +311,22 @@
   BOOST_TEST((result.failure == PartFailure::kRefused));
 }
 
+// Guards against the same after bytes that belong to no request.
+BOOST_AUTO_TEST_CASE(RefusalWithoutIdentifierProvesNothingAfterStrayBytes) {
+  const auto result =
+      ExchangeWith({Reply("other", "") + std::string(kUnnamedRefusal)});
+  BOOST_TEST((result.failure == PartFailure::kLost));
+}
+
+// Guards against a request that is repeated after a reply to it which cannot be
+// true.
+BOOST_AUTO_TEST_CASE(SuccessThatSaysNotRunIsLost) {
+  const auto result = ExchangeWith(
+      {Reply("id", "body", "200 OK", "X-Auburnyard-Not-Executed: 1\r\n")});
+  BOOST_TEST(!result.reply.has_value());
+  BOOST_TEST((result.failure == PartFailure::kLost));
+}
+
 // Guards against a broken reply that a caller gets as an answer, or that a part
 // of a fan-out counts as one: its status is outside 200 to 599, or a 1xx claims
 // to be the reply to the request.
--- a/util/relay_soak/soak.cc
+++ b/util/relay_soak/soak.cc
@@ -1,12 +1,14 @@
 #include "util/relay_soak/soak.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <set>
 #include <thread>
 #include <utility>
 
 #include "auburnyard/record_merger.h"
+#include "auburnyard/status_promise.h"
 #include "platform/relay_codec.h"
 #include "platform/wire_names.h"
 #include "util/relay_soak/answer_check.h"
@@ -48,7 +50,8 @@
 constexpr milliseconds kAccountCallInterval{25};
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnauthorized = 401;
-constexpr int kStatusUnavailable = 503;
+// Statuses of targets that have run a request; 0: that of a success.
+constexpr std::array<int, 6> kFailureStatuses = {0, 0, 500, 503, 429, 408};
 
 }  // namespace
 
@@ -334,8 +337,9 @@
       target.faults.rejects_requests = !target.faults.rejects_requests;
       break;
     case 1:
-      ++this->fault_counts["target errors toggled"];
-      target.faults.fails_requests = !target.faults.fails_requests;
+      ++this->fault_counts["target answers with a failure"];
+      target.faults.failure_status =
+          kFailureStatuses.at(this->Pick(kFailureStatuses.size()));
       break;
     case 2:
       ++this->fault_counts["target slow"];
@@ -395,7 +399,7 @@
   for (std::size_t i = 0; i < this->fleet.target_count(); ++i) {
     RelayTarget& target = this->fleet.target(i);
     target.faults.rejects_requests = false;
-    target.faults.fails_requests = false;
+    target.faults.failure_status = 0;
     target.faults.delay_ms = 0;
     this->fleet.SetTargetRoute(i, RouteState::kPass, {});
     // Simulates a restart of the target: its new registration supersedes the
@@ -559,7 +563,7 @@
       this->violations.push_back(id + " was executed " + std::to_string(count) +
                                  " times");
     }
-    if (status == kStatusUnavailable && count > 0) {
+    if (PromisesNotRun(status) && count > 0) {
       this->violations.push_back(
           id + " was executed although it was refused as not executed");
     }
--- a/util/relay_standin/relay_target.cc
+++ b/util/relay_standin/relay_target.cc
@@ -15,7 +15,7 @@
 
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
-constexpr int kInternalError = 500;
+constexpr int kOk = 200;
 constexpr int kSlots = 2;
 
 }  // namespace
@@ -150,8 +150,9 @@
   if (!account.empty()) {
     this->account_runs[account].push_back(std::chrono::steady_clock::now());
   }
+  const int failure = this->faults.failure_status;
   HttpResponse response{
-      .status = this->faults.fails_requests ? kInternalError : 200,
+      .status = failure == 0 ? kOk : failure,
       .body = this->Record(),
       .content_type = "application/octet-stream"};
   response.headers.emplace_back(platform::kSignature,
--- a/util/relay_standin/relay_target.h
+++ b/util/relay_standin/relay_target.h
@@ -23,7 +23,8 @@
  public:
   struct Faults {
     std::atomic<bool> rejects_requests{false};  ///< rejects before execution
-    std::atomic<bool> fails_requests{false};    ///< executes and answers 500
+    /// Executes and answers with this status; 0: 200.
+    std::atomic<int> failure_status{0};
     std::atomic<int> delay_ms{0};
     std::atomic<bool> leaving{false};  ///< announces in answers that it leaves
   };
