--- a/test/fan_out_property_test.cc
+++ b/test/fan_out_property_test.cc
@@ -102,9 +102,9 @@
       fixture.Fail(index, PartFailure::kLost, now);
     } else {
       constexpr std::array<int, 6> kStatuses = {200, 500, 503, 429, 408, 404};
-      fixture.Reply(index, now,
-                    kStatuses.at(static_cast<std::size_t>(step / 3) %
-                                 kStatuses.size()));
+      fixture.Reply(
+          index, now,
+          kStatuses.at(static_cast<std::size_t>(step / 3) % kStatuses.size()));
     }
   }
   fan_out.OnTimer(FanOutFixture::At(900));
--- a/test/withheld_reply_test.cc
+++ b/test/withheld_reply_test.cc
@@ -1,7 +1,7 @@
 #include <sstream>
 
-#include <boost/test/unit_test.hpp>
 #include <spdlog/sinks/ostream_sink.h>
+#include <boost/test/unit_test.hpp>
 
 #include "src/net/log.h"
 #include "test/relay_service_fixture.h"
@@ -68,8 +68,7 @@
       std::string metrics;
       const CallerAnswer answer = AskWith(
           [&](const std::string& head) {
-            return ScriptedReply{
-                Failure(head, status, std::string(size, 'x'))};
+            return ScriptedReply{Failure(head, status, std::string(size, 'x'))};
           },
           /*idempotent=*/false, &metrics);
       BOOST_TEST(StatusOf(answer) == "502", status);
@@ -145,9 +144,9 @@
   BOOST_TEST(StatusOf(contradiction) == "502");
   const CallerAnswer cut = AskWith(
       [&](const std::string& head) {
-        return ScriptedReply{Failure(head, "503 Busy", "", not_run)
-                                 .substr(0, 70),
-                             ScriptedReply::Then::kClose};
+        return ScriptedReply{
+            Failure(head, "503 Busy", "", not_run).substr(0, 70),
+            ScriptedReply::Then::kClose};
       },
       /*idempotent=*/false);
   BOOST_TEST(StatusOf(cut) == "502");
--- a/util/relay_standin/relay_target.cc
+++ b/util/relay_standin/relay_target.cc
@@ -151,10 +151,9 @@
     this->account_runs[account].push_back(std::chrono::steady_clock::now());
   }
   const int failure = this->faults.failure_status;
-  HttpResponse response{
-      .status = failure == 0 ? kOk : failure,
-      .body = this->Record(),
-      .content_type = "application/octet-stream"};
+  HttpResponse response{.status = failure == 0 ? kOk : failure,
+                        .body = this->Record(),
+                        .content_type = "application/octet-stream"};
   response.headers.emplace_back(platform::kSignature,
                                 this->name + "." + request_id);
   return response;
