Refuse messages whose end is in doubt

What callers saw: a request with Transfer-Encoding: gzip, or any list that does not end in "chunked", was answered as one without a body.

Cause: Beast takes a coding list that does not end in "chunked" for no body, and nothing looked at the head after it. Replies were read the same way: with Transfer-Encoding: gzip until the connection closed, as the target's own bytes. Trailer fields became header fields, so that they could add a second request identifier or a statement "not executed".

Change: MessageParser is the parser of all connections: both fronts, metrics and readiness, mirrors, quota servers, and the replies of targets, of the store and of other hosts. CheckHead, free of I/O, rejects what leaves the end of a message in doubt: 400, or 501 for a coding before "chunked"; the connection closes. A reply ends its exchange as "may have run". Trailers are dropped, chunk extensions bounded to 4 KB a message, two hosts or two request identifiers refused. docs/http-messages.md has a row for each input; the tests are driven by it, the fuzzer's corpus holds each row, and the soak sends such requests.

--- a/include/auburnyard/error.h
+++ b/include/auburnyard/error.h
@@ -41,6 +41,7 @@
   kAnswerTooLarge,
   kCheckFailed,
   kUnconfirmedRefusal,
+  kUnsupportedCoding,
 };
 
 /// Whether the work of a refused request was executed.
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -14,7 +14,7 @@
 constexpr int kExitConflict = 5;
 constexpr int kExitInternal = 70;
 
-constexpr std::array<ErrorDescription, 28> kErrors = {{
+constexpr std::array<ErrorDescription, 29> kErrors = {{
     {ErrorKind::kBadRequest, "bad_request", 400, "The request is malformed",
      kExitUsage},
     {ErrorKind::kNotFound, "not_found", 404, "The resource does not exist",
@@ -71,6 +71,8 @@
      "The check found differences", kExitDifferent},
     {ErrorKind::kUnconfirmedRefusal, "unconfirmed_refusal", 502,
      "A target refused the request and may have run it", kExitUnavailable},
+    {ErrorKind::kUnsupportedCoding, "unsupported_coding", 501,
+     "The transfer coding is not supported", kExitUsage},
 }};
 
 constexpr std::array<std::string_view, 3> kRunStates = {"not_run", "unknown",
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -10,11 +10,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "auburnyard/clock.h"
 #include "auburnyard/memory_budget.h"
 #include "src/net/http_message.h"
+#include "src/net/message_parser.h"
 
 namespace auburnyard {
 
@@ -80,9 +80,7 @@
   // received but not parsed yet.
   boost::beast::flat_buffer buffer{kMaxBufferedBytes};
   BeastRequest request;
-  std::optional<
-      boost::beast::http::response_parser<boost::beast::http::string_body>>
-      parser;
+  std::optional<ResponseParser> parser;
   Callback callback;
   bool connected = false;
   int informational = 0;  // informational responses to the current call
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -171,6 +171,9 @@
   } else if (error == http::error::header_limit) {
     this->Send(ProblemResponse(ErrorKind::kHeaderTooLarge,
                                "the header exceeds the limit"));
+  } else if (error == HeadFault::kUnknownCoding) {
+    this->Send(ProblemResponse(ErrorKind::kUnsupportedCoding,
+                               "only \"chunked\" is supported"));
   } else if (this->timed_out) {
     this->Send(ProblemResponse(ErrorKind::kRequestTimeout,
                                "the request was not complete in time"));
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -11,11 +11,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "auburnyard/error.h"
 
 #include "src/net/http_server.h"
+#include "src/net/message_parser.h"
 
 namespace auburnyard {
 
@@ -51,9 +51,7 @@
   boost::asio::ip::tcp::socket socket;
   boost::asio::steady_timer timer;
   boost::beast::flat_buffer buffer;
-  std::optional<
-      boost::beast::http::request_parser<boost::beast::http::string_body>>
-      parser;
+  std::optional<RequestParser> parser;
   std::shared_ptr<DisconnectNotifier> disconnect_notifier;
   BeastResponse response;
   std::uint64_t requests = 0;
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -171,6 +171,9 @@
   } else if (error == http::error::body_limit) {
     status = 413;
     kind = "payload_too_large";
+  } else if (error == HeadFault::kUnknownCoding) {
+    status = 501;
+    kind = "unsupported_coding";
   }
   this->in_progress = true;
   this->Write(MakeRefusal(status, "the request cannot be read", kind,
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -9,9 +9,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "auburnyard/route_table.h"
+#include "src/net/message_parser.h"
 #include "src/relay/caller_answer.h"
 #include "src/relay/relay_context.h"
 
@@ -47,8 +47,6 @@
   std::function<void()> cancel;
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
   static constexpr std::size_t kReadBytes = 16 * 1024;
 
   void NewParser();
@@ -70,7 +68,7 @@
   const Hooks& hooks;
   std::array<char, kReadBytes> received;  // by the read in progress
   boost::beast::flat_buffer buffer;       // not parsed yet
-  std::optional<Parser> parser;
+  std::optional<RequestParser> parser;
   std::string response_head;
   std::string response_body;
   bool closed = false;
--- a/src/relay/target_connection.h
+++ b/src/relay/target_connection.h
@@ -8,9 +8,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "auburnyard/status_promise.h"
+#include "src/net/message_parser.h"
 #include "src/relay/relay_context.h"
 #include "src/relay/target_exchange.h"
 
@@ -74,8 +74,6 @@
 
  private:
   enum class State { kConnecting, kIdle, kBusy, kClosed };
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void Read();
   void OnRead(boost::beast::error_code error, std::size_t size);
@@ -100,7 +98,7 @@
   TimePoint exchange_sent_at{};
   TimePoint idle_limit = TimePoint::max();
   boost::beast::flat_buffer buffer;
-  std::optional<Parser> parser;
+  std::optional<ResponseParser> parser;
   TargetExchangePtr current;
   std::string attempt_head;
   std::chrono::seconds probe_interval{0};  // 0: none
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -7,6 +7,7 @@
 #include "platform/documents.h"
 #include "platform/relay_codec.h"
 #include "platform/store_codec.h"
+#include "platform/wire_names.h"
 #include "test/property.h"
 
 namespace auburnyard {
@@ -368,6 +369,18 @@
   BOOST_TEST(decoded[0].id == "b");
 }
 
+// Guards against a target that takes another one of two identifiers than the
+// host.
+BOOST_AUTO_TEST_CASE(SecondRequestIdentifierIsRefused) {
+  BeastRequest request(boost::beast::http::verb::get, "/x", 11);
+  request.insert(platform::kRequestId, "1");
+  BOOST_TEST(platform::MakeRelayCodec().decode_request(request).request_id ==
+             "1");
+  request.insert(platform::kRequestId, "2");
+  BOOST_TEST(
+      platform::MakeRelayCodec().decode_request(request).request_id.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/test/target_pool_test.cc
+++ b/test/target_pool_test.cc
@@ -4,17 +4,18 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "platform/relay_codec.h"
+#include "test/message_table.h"
 #include "test/scripted_server.h"
+#include "test/target_pool_fixture.h"
 
 namespace auburnyard {
 
 namespace {
 
+using test::PoolFixture;
 using test::ScriptedReply;
 using test::ScriptedServer;
 
-constexpr std::chrono::seconds kTestTimeout{20};  // terminates a hanging test
 constexpr std::string_view kUnnamedRefusal =
     "HTTP/1.1 503 Service Unavailable\r\nX-Auburnyard-Not-Executed: 1\r\n"
     "Content-Length: 0\r\n\r\n";
@@ -30,70 +31,6 @@
          std::string(body);
 }
 
-// A pool with one connection to an address.
-class PoolFixture {
- public:
-  explicit PoolFixture(const std::string& address)
-      : state(std::make_shared<TargetState>(
-            TargetEntry{.id = "t", .service = "s", .address = address},
-            Distance::kSameDomain)),
-        pool(std::make_shared<TargetPool>(
-            this->context,
-            this->state,
-            TargetPool::Hooks{
-                [this](const TargetPtr&) { this->wrong_target = true; }})) {}
-
-  struct Result {
-    std::optional<RelayReply> reply;
-    std::optional<PartFailure> failure;
-    bool sent = false;
-  };
-
-  TargetExchangePtr Submit(Result& result,
-                           const std::string& id = "id",
-                           bool forwards_reply = false) {
-    auto request = std::make_shared<TargetExchange::SharedRequest>();
-    request->head = "GET / HTTP/1.1\r\nHost: h\r\n";
-    request->request_id = id;
-    request->idempotent = true;
-    request->forwards_reply = forwards_reply;
-    request->deadline = this->clock.Now() + kTestTimeout;
-    auto exchange = std::make_shared<TargetExchange>();
-    exchange->request = std::move(request);
-    exchange->on_sent = [&result] { result.sent = true; };
-    exchange->on_reply = [&result](RelayReply reply) {
-      result.reply = std::move(reply);
-    };
-    exchange->on_failure = [&result](PartFailure failure) {
-      result.failure = failure;
-    };
-    this->pool->Submit(exchange);
-    return exchange;
-  }
-  Result Exchange(const std::string& id = "id") {
-    Result result;
-    this->Submit(result, id);
-    this->RunUntil([&result] { return result.reply || result.failure; });
-    return result;
-  }
-  void RunUntil(const std::function<bool()>& done) {
-    const TimePoint limit = this->clock.Now() + kTestTimeout;
-    while (!done() && this->clock.Now() < limit) {
-      this->io.restart();
-      this->io.run_one_for(std::chrono::milliseconds(50));
-      this->pool->Sweep();
-    }
-  }
-
-  Clock clock;
-  boost::asio::io_context io;
-  RelayCodec codec = platform::MakeRelayCodec();
-  RelayContext context{this->io, this->clock, this->codec};
-  bool wrong_target = false;
-  TargetPtr state;
-  std::shared_ptr<TargetPool> pool;
-};
-
 PoolFixture::Result ExchangeWith(ScriptedReply reply) {
   ScriptedServer server([&reply](const std::string&) { return reply; });
   PoolFixture fixture(server.address());
@@ -301,7 +238,26 @@
   const auto result = fixture.Exchange();
   BOOST_TEST((result.failure == PartFailure::kLost));
   BOOST_TEST(ToMilliseconds(fixture.clock.Now() - begin) <
-             ToMilliseconds(kTestTimeout) / 4);
+             ToMilliseconds(PoolFixture::kTimeout) / 4);
+}
+
+// Guards against replies of targets that are read beyond or short of their end.
+BOOST_AUTO_TEST_CASE(RepliesAreReadAsTheTableSays) {
+  const auto rows = test::ReadMessageTable(
+      std::string(TEST_SOURCE_DIR) + "/../docs/http-messages.md", "Replies");
+  BOOST_TEST(!rows.empty());
+  for (const test::MessageRow& row : rows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      const auto result =
+          ExchangeWith({row.message, ScriptedReply::Then::kClose});
+      const bool read = row.columns.at(0) == "read";
+      BOOST_TEST(result.reply.has_value() == read);
+      BOOST_TEST((result.failure == PartFailure::kLost) == !read);
+      if (result.reply) {
+        BOOST_TEST(result.reply->body == "ab");
+      }
+    }
+  }
 }
 
 // Guards against requests that are not repeated although their target refused
--- a/util/relay_soak/soak.cc
+++ b/util/relay_soak/soak.cc
@@ -12,6 +12,7 @@
 #include "platform/relay_codec.h"
 #include "platform/wire_names.h"
 #include "util/relay_soak/answer_check.h"
+#include "util/relay_soak/doubtful_request.h"
 
 namespace auburnyard::util {
 
@@ -48,7 +49,10 @@
 constexpr std::size_t kOddDepth = 100'000;
 // About five times the rate of the account.
 constexpr milliseconds kAccountCallInterval{25};
+constexpr milliseconds kDoubtfulCallInterval{100};
 constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotImplemented = 501;
 constexpr int kStatusUnauthorized = 401;
 // Statuses of targets that have run a request; 0: that of a success.
 constexpr std::array<int, 6> kFailureStatuses = {0, 0, 500, 503, 429, 408};
@@ -86,6 +90,7 @@
       callers.emplace_back([this, i] { this->ProbeHost(i); });
     }
     callers.emplace_back([this] { this->CallAsAccount(); });
+    callers.emplace_back([this] { this->CallInDoubt(); });
     for (std::size_t i = 0; i < kCallers; ++i) {
       callers.emplace_back([this, i] { this->Call(i); });
     }
@@ -501,6 +506,20 @@
   }
 }
 
+void Soak::CallInDoubt() {
+  std::mt19937_64 choices(this->options.seed);
+  for (std::uint64_t number = 0; !this->stopping; ++number) {
+    const int status = SendDoubtfulRequest(
+        this->fleet.Address(choices() % this->fleet.hosts()), number);
+    if (status != 0 && status != kStatusBadRequest &&
+        status != kStatusNotImplemented) {
+      this->AddViolation("a request whose end is in doubt was answered " +
+                         std::to_string(status));
+    }
+    std::this_thread::sleep_for(kDoubtfulCallInterval);
+  }
+}
+
 // A host sends the next request on a connection only after the whole answer to
 // the one before, so that no time has to be allowed.
 void Soak::CheckLeavingTargets() {
@@ -556,6 +575,11 @@
     }
   }
   const std::lock_guard lock(this->mutex);
+  for (const auto& [id, count] : runs) {
+    if (id.starts_with(kInnerRequestPrefix)) {
+      this->violations.push_back(id + " was executed, but stood in a body");
+    }
+  }
   for (const auto& [id, status] : this->statuses) {
     const auto found = runs.find(id);
     const int count = found == runs.end() ? 0 : found->second;
--- a/util/relay_soak/soak.h
+++ b/util/relay_soak/soak.h
@@ -79,6 +79,8 @@
   /// Checks that targets which announced that they leave got nothing more.
   void CheckLeavingTargets();
   void CallAsAccount();
+  /// Sends requests whose end is in doubt.
+  void CallInDoubt();
   void AddViolation(std::string text);
   std::size_t Pick(std::size_t count);
 
