Reject heads in which two replies were read as one

Cause: the first bytes of a second copy of a reply came before the next reply. Where the copy was cut inside the reason phrase or a value, the parser read one head with the fields of both, for example "not executed" of the copy and the identifier of the request that the target was running.

Change: a head with a status line inside the reason phrase or a value, with a repeated field that may occur once, or that contradicts itself is no reply. The exchange ends as "may have run", the connection closes and nothing in the head is believed; reply_unreadable logs the request and the fault, a counter counts.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -61,6 +61,7 @@
   asio::dispatch(this->stream.get_executor(),
                  [self = this->shared_from_this(), timeout] {
                    self->stream.expires_after(timeout);
+                   self->CloseIfBytesWait();
                    if (self->connected) {
                      self->Write();
                      return;
@@ -78,6 +79,19 @@
                  });
 }
 
+// Bytes that arrived before the call belong to no request. They would be read
+// as its response.
+void HttpConnection::CloseIfBytesWait() {
+  boost::beast::error_code ignored;
+  if (this->connected && this->stream.socket().available(ignored) > 0) {
+    this->connected = false;
+    this->stream.close();
+  }
+  if (!this->connected) {
+    this->buffer.clear();
+  }
+}
+
 void HttpConnection::SetSocketOptions() {
   boost::beast::error_code ignored;
   asio::ip::tcp::socket& socket = this->stream.socket();
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -63,6 +63,7 @@
   void Close();
 
  private:
+  void CloseIfBytesWait();
   void SetSocketOptions();
   void Write();
   void ReadResponse();
--- a/src/net/message_head.cc
+++ b/src/net/message_head.cc
@@ -1,5 +1,6 @@
 #include "src/net/message_head.h"
 
+#include <algorithm>
 #include <string_view>
 #include <vector>
 
@@ -33,6 +34,8 @@
         return "several lengths";
       case HeadFault::kSeveralHosts:
         return "several hosts";
+      case HeadFault::kMergedHeads:
+        return "a status line inside a reply's head";
     }
     return "unknown fault";
   }
@@ -101,6 +104,39 @@
   return CheckCodings(codings);
 }
 
+bool IsDigit(char byte) {
+  return byte >= '0' && byte <= '9';
+}
+
+// Whether the text contains the start of a status line, such as "HTTP/1.1 2".
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kName = "HTTP/";
+  constexpr std::size_t kStartBytes = kName.size() + 5;
+  for (std::size_t at = text.find(kName);
+       at != std::string_view::npos && at + kStartBytes <= text.size();
+       at = text.find(kName, at + 1)) {
+    const std::string_view version = text.substr(at + kName.size());
+    if (IsDigit(version[0]) && version[1] == '.' && IsDigit(version[2]) &&
+        version[3] == ' ' && IsDigit(version[4])) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// The first bytes of a reply that the server sent a second time may precede the
+// next one. The parser reads both heads as one if the first ends inside the
+// reason phrase or a value.
+bool ContainsSecondHead(const http::header<false, http::fields>& head) {
+  const auto contains = [](boost::beast::string_view text) {
+    return ContainsStatusLine({text.data(), text.size()});
+  };
+  return contains(head.reason()) ||
+         std::any_of(head.begin(), head.end(), [&contains](const auto& field) {
+           return contains(field.value());
+         });
+}
+
 }  // namespace
 
 HeadFault CheckHead(const http::header<true, http::fields>& head) {
@@ -112,6 +148,9 @@
 }
 
 HeadFault CheckHead(const http::header<false, http::fields>& head) {
+  if (ContainsSecondHead(head)) {
+    return HeadFault::kMergedHeads;
+  }
   return CheckFraming(head, head.version());
 }
 
--- a/src/net/message_head.h
+++ b/src/net/message_head.h
@@ -17,6 +17,7 @@
   kCodingInHttp10,   ///< a transfer coding in HTTP/1.0
   kSeveralLengths,   ///< several lengths or a list of them
   kSeveralHosts,
+  kMergedHeads,  ///< a status line inside the reason phrase or a field value
 };
 
 HeadFault CheckHead(
--- a/src/relay/peer_table.cc
+++ b/src/relay/peer_table.cc
@@ -51,6 +51,13 @@
       this->on_admission(host, shares);
     }
   };
+  hooks.on_unreadable = [this](const TargetPtr& target,
+                               std::string_view request_id,
+                               std::string_view fault) {
+    if (this->on_unreadable) {
+      this->on_unreadable(target, request_id, fault);
+    }
+  };
   hooks.on_leaving_report =
       [this](std::span<const TargetIncarnation> reported) {
         if (this->on_leaving_report) {
--- a/src/relay/peer_table.h
+++ b/src/relay/peer_table.h
@@ -38,6 +38,12 @@
       std::function<void(std::span<const TargetIncarnation>)> hook) {
     this->on_leaving_report = std::move(hook);
   }
+  /// Called when the bytes that came in reply to a bundle are no reply.
+  void SetUnreadableHook(std::function<void(const TargetPtr& host,
+                                            std::string_view request_id,
+                                            std::string_view fault)> hook) {
+    this->on_unreadable = std::move(hook);
+  }
   std::shared_ptr<TargetPool> PoolOf(const TargetPtr& peer) const;
   void Sweep();
 
@@ -55,6 +61,8 @@
   std::function<void(const TargetPtr&, std::span<const AdmissionShare>)>
       on_admission;
   std::function<void(std::span<const TargetIncarnation>)> on_leaving_report;
+  std::function<void(const TargetPtr&, std::string_view, std::string_view)>
+      on_unreadable;
 };
 
 }  // namespace auburnyard
--- a/src/relay/relay_codec.h
+++ b/src/relay/relay_codec.h
@@ -63,6 +63,9 @@
   std::vector<std::string> missing_services;
   /// Maximum number of records with which another entry host merged it.
   std::optional<std::uint32_t> top_records;
+  /// A field that may occur once occurs several times, so that two heads may
+  /// have been read as one.
+  bool repeated_field = false;
   bool refused = false;       ///< the target did not run the request
   bool wrong_target = false;  ///< another target has this address
   bool leaving = false;       ///< the target announces that it leaves
--- a/src/relay/relay_metrics.cc
+++ b/src/relay/relay_metrics.cc
@@ -73,6 +73,15 @@
       .Add();
 }
 
+void RelayMetrics::CountUnreadableReply() {
+  this->all
+      .Counter("auburnyard_relay_unreadable_replies_total",
+               "Exchanges that ended because the bytes that arrived are no "
+               "reply.",
+               {})
+      .Add();
+}
+
 void RelayMetrics::CountRepeat(AttemptPurpose purpose, bool granted) {
   if (purpose == AttemptPurpose::kHedge) {
     (granted ? this->hedges : this->hedges_denied).Add();
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -21,6 +21,8 @@
   void CountRefusal(std::string_view kind);
   /// Counts a target's reply that was not returned, by its status.
   void CountWithheldReply(int status);
+  /// Counts bytes that came in reply to a request and are no reply.
+  void CountUnreadableReply();
   void CountRepeat(AttemptPurpose purpose, bool granted);
   void ObserveRequest(bool fans_out, Duration latency);
   /// Counts missing parts by cause.
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -33,6 +33,7 @@
 constexpr std::size_t kMaxHeldRequests = 256;
 constexpr std::uint32_t kOutcomeLinesPerSecond = 20;
 constexpr std::uint32_t kWithheldLinesPerSecond = 100;
+constexpr std::uint32_t kUnreadableLinesPerSecond = 100;
 constexpr std::uint64_t kRandomSeed = 20261204;
 
 // Fewer parts of a remote failure domain are fetched directly.
@@ -115,6 +116,7 @@
       random(kRandomSeed),
       outcome_lines(kOutcomeLinesPerSecond),
       withheld_lines(kWithheldLinesPerSecond),
+      unreadable_lines(kUnreadableLinesPerSecond),
       request_admission(relay_context, target_table, relay_metrics) {
   this->peers.SetAdmissionHook(
       [this](const TargetPtr& host, std::span<const AdmissionShare> shares) {
@@ -125,6 +127,13 @@
         this->targets.OnLeavingReport(reported);
       });
   this->targets.SetLeavingHook([this] { this->metrics.CountLeavingTarget(); });
+  const auto on_unreadable = [this](const TargetPtr& target,
+                                    std::string_view request_id,
+                                    std::string_view fault) {
+    this->OnReplyUnreadable(*target, request_id, fault);
+  };
+  this->targets.SetUnreadableHook(on_unreadable);
+  this->peers.SetUnreadableHook(on_unreadable);
 }
 
 bool RelayService::SetRoutes(std::shared_ptr<const RouteTable> newer) {
@@ -659,6 +668,20 @@
   this->Respond(*job, request.request_id(), std::move(answer));
 }
 
+void RelayService::OnReplyUnreadable(const TargetState& target,
+                                     std::string_view request_id,
+                                     std::string_view fault) {
+  this->metrics.CountUnreadableReply();
+  std::uint64_t omitted = 0;
+  if (this->unreadable_lines.Allow(this->context.clock.Now(), omitted)) {
+    LogEvent(spdlog::level::warn, "reply_unreadable",
+             {{"request", request_id},
+              {"target", target.entry().id},
+              {"fault", fault},
+              {"omitted", omitted}});
+  }
+}
+
 void RelayService::OnReplyWithheld(const RelayJob& job,
                                    const RelayedRequest& request,
                                    const FanOutResult& result) {
--- a/src/relay/relay_service.h
+++ b/src/relay/relay_service.h
@@ -137,6 +137,10 @@
               const Responder& respond);
   CallerAnswer MakeAnswer(const RelayJob& job, const FanOutResult& result);
   CallerAnswer MakeFailure(const RelayJob& job, const FanOutResult& result);
+  /// Counts and logs bytes that are no reply.
+  void OnReplyUnreadable(const TargetState& target,
+                         std::string_view request_id,
+                         std::string_view fault);
   /// Counts and logs a target's reply that was not returned to the caller.
   void OnReplyWithheld(const RelayJob& job,
                        const RelayedRequest& request,
@@ -173,6 +177,7 @@
   std::mt19937_64 random;
   LogLimiter outcome_lines;
   LogLimiter withheld_lines;
+  LogLimiter unreadable_lines;
   std::function<bool()> is_outdated = [] { return false; };
   std::function<bool()> is_revocation_unknown = [] { return false; };
   AccountAdmission account_admission;
--- a/src/relay/target_connection.cc
+++ b/src/relay/target_connection.cc
@@ -172,7 +172,7 @@
     const bool complete =
         detail::FeedParser(*this->parser, this->buffer, kMaxUnusedBytes, error);
     if (error) {
-      this->Fail();
+      this->Fail(error.message());
       return;
     }
     if (!complete) {
@@ -188,13 +188,17 @@
   BeastResponse response = this->parser->release();
   ExchangeEnd end;
   end.head = this->context.codec.decode_reply(response);
+  if (end.head.repeated_field) {
+    this->Fail("a field that may occur once is repeated");
+    return;
+  }
   if (!IsFinalStatus(end.head.status)) {
     this->OnNonFinalReply(end.head);
     return;
   }
   const ReplyMeaning meaning = this->MeaningOfReply(end.head);
   if (meaning == ReplyMeaning::kContradiction) {
-    this->Fail();
+    this->Fail("a success that states that it did not run");
     return;
   }
   if (meaning == ReplyMeaning::kUnrelated) {
@@ -272,11 +276,13 @@
   this->hooks.on_end(this->shared_from_this(), std::move(end));
 }
 
-void TargetConnection::Fail() {
+void TargetConnection::Fail(std::string fault) {
   const bool was_busy = this->state == State::kBusy;
   this->Close();
   if (was_busy) {
-    this->hooks.on_end(this->shared_from_this(), {});
+    ExchangeEnd end;
+    end.fault = std::move(fault);
+    this->hooks.on_end(this->shared_from_this(), std::move(end));
   } else {
     this->hooks.on_closed(this->shared_from_this());
   }
--- a/src/relay/target_connection.h
+++ b/src/relay/target_connection.h
@@ -19,6 +19,8 @@
 /// How an exchange on a connection ended.
 struct ExchangeEnd {
   bool complete = false;  ///< a complete reply to this request arrived
+  /// Why the bytes that arrived are no reply; empty: none arrived.
+  std::string fault;
   ReplyHead head;
   RelayReply reply;
 };
@@ -87,7 +89,8 @@
   void NewParser();
   void UpdateCharge();
   void End(ExchangeEnd end, bool reusable);
-  void Fail();
+  /// Ends the exchange, if there is one, without a reply.
+  void Fail(std::string fault = {});
 
   const RelayContext& context;
   boost::asio::ip::tcp::socket socket;
--- a/src/relay/target_pool.cc
+++ b/src/relay/target_pool.cc
@@ -283,6 +283,10 @@
   if (!was_cold && this->state->Cold(now) && this->hooks.on_cold) {
     this->hooks.on_cold(this->state);
   }
+  if (!end.fault.empty() && this->hooks.on_unreadable) {
+    this->hooks.on_unreadable(this->state, exchange->request->request_id,
+                              end.fault);
+  }
   this->ReportLeaving(*exchange, end.head);
   if (!end.head.admission.empty() && this->hooks.on_admission) {
     this->hooks.on_admission(this->state, end.head.admission);
--- a/src/relay/target_pool.h
+++ b/src/relay/target_pool.h
@@ -33,6 +33,12 @@
     /// Called with the targets that another entry host names as leaving. May be
     /// empty.
     std::function<void(std::span<const TargetIncarnation>)> on_leaving_report;
+    /// Called when the bytes that came in reply to a request are no reply. May
+    /// be empty.
+    std::function<void(const TargetPtr&,
+                       std::string_view request_id,
+                       std::string_view fault)>
+        on_unreadable;
     /// Called when a request is sent. May be empty.
     std::function<void(const TargetPtr&)> on_sent;
     /// Called when a request that was sent ends after `latency`, except if the
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -140,6 +140,13 @@
       this->OnLeaving(target->entry().Incarnation(), request_id);
     }
   };
+  hooks.on_unreadable = [this](const TargetPtr& target,
+                               std::string_view request_id,
+                               std::string_view fault) {
+    if (this->on_unreadable) {
+      this->on_unreadable(target, request_id, fault);
+    }
+  };
   hooks.on_sent = [this](const TargetPtr& target) {
     if (this->rollouts != nullptr) {
       this->rollouts->OnSent(target->entry().service);
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -72,6 +72,12 @@
   /// Registered targets of the services that announced that they leave.
   std::vector<TargetIncarnation> LeavingTargetsOf(
       std::span<const std::string> services) const;
+  /// Called when the bytes that came in reply to a request are no reply.
+  void SetUnreadableHook(std::function<void(const TargetPtr& target,
+                                            std::string_view request_id,
+                                            std::string_view fault)> hook) {
+    this->on_unreadable = std::move(hook);
+  }
   /// Called once for each announcement that was not known.
   void SetLeavingHook(std::function<void()> hook) {
     this->on_leaving = std::move(hook);
@@ -181,6 +187,8 @@
   std::set<std::string, std::less<>> evacuated;
   LeavingTargets leaving;
   std::function<void()> on_leaving;
+  std::function<void(const TargetPtr&, std::string_view, std::string_view)>
+      on_unreadable;
   RolloutTable* rollouts = nullptr;
   std::function<bool()> in_contact;
   std::map<std::string, VersionRoles, std::less<>> roles;  // by service
--- a/util/relay_soak/soak.cc
+++ b/util/relay_soak/soak.cc
@@ -336,7 +336,7 @@
 void Soak::InjectTargetFault() {
   const std::size_t index = this->Pick(this->fleet.target_count());
   RelayTarget& target = this->fleet.target(index);
-  switch (this->Pick(9)) {
+  switch (this->Pick(10)) {
     case 0:
       ++this->fault_counts["target rejects toggled"];
       target.faults.rejects_requests = !target.faults.rejects_requests;
@@ -371,6 +371,10 @@
       target.faults.leaving = true;
       this->fleet.Register(index, /*draining=*/true);
       break;
+    case 8:
+      ++this->fault_counts["replies of a target repeated in part"];
+      this->fleet.SetTargetRoute(index, RouteState::kRepeatReplies, {});
+      break;
     default:
       ++this->fault_counts["route to a target dropped"];
       this->fleet.SetTargetRoute(index, RouteState::kDrop, kInjectedDelay);
--- a/util/tcp_forwarder/forwarded_connection.cc
+++ b/util/tcp_forwarder/forwarded_connection.cc
@@ -21,6 +21,7 @@
               server,
               {.delay = [this] { return this->hooks.delays().forward; },
                .is_dropping = [this] { return this->hooks.is_dropping(); },
+               .is_repeating = [] { return false; },
                .on_end = [this] { this->OnEnd(this->server); },
                .on_error = [this] { this->Close(); }}),
       reverse(
@@ -28,6 +29,8 @@
           client,
           {.delay = [this] { return this->hooks.delays().reverse; },
            .is_dropping = [this] { return this->hooks.is_dropping_replies(); },
+           .is_repeating =
+               [this] { return this->hooks.is_repeating_replies(); },
            .on_end = [this] { this->OnEnd(this->client); },
            .on_error = [this] { this->Close(); }}) {}
 
--- a/util/tcp_forwarder/forwarded_connection.h
+++ b/util/tcp_forwarder/forwarded_connection.h
@@ -22,6 +22,7 @@
     std::function<RouteDelays()> delays;
     std::function<bool()> is_dropping;  ///< from the client to the server
     std::function<bool()> is_dropping_replies;
+    std::function<bool()> is_repeating_replies;
   };
 
   ForwardedConnection(boost::asio::ip::tcp::socket client,
--- a/util/tcp_forwarder/forwarder_control.h
+++ b/util/tcp_forwarder/forwarder_control.h
@@ -12,7 +12,8 @@
 /// HTTP control interface of tcp-forwarder:
 ///   GET  /v1/routes   state and open connections of each route
 ///   POST /v1/control  {"routes": [names], "groups": [names],
-///                     "state": "pass" | "cut" | "drop" | "drop_replies",
+///                     "state": "pass" | "cut" | "drop" | "drop_replies" |
+///                              "repeat_replies",
 ///                     "delay_ms", "forward_delay_ms", "reverse_delay_ms"};
 ///                     without "routes" and "groups" it applies to all routes
 class ForwarderControl {
--- a/util/tcp_forwarder/pipe.cc
+++ b/util/tcp_forwarder/pipe.cc
@@ -14,6 +14,8 @@
 // Reading stops at this many undelivered chunks, so that TCP flow control slows
 // the sender down.
 constexpr std::size_t kMaxChunks = 256;
+// One of so many chunks is repeated.
+constexpr std::size_t kRepeatedChunks = 4;
 
 }  // namespace
 
@@ -55,14 +57,28 @@
     return;
   }
   this->end_read = bytes == 0;
-  this->chunks.push_back(
-      {std::chrono::steady_clock::now() + this->hooks.delay(),
-       {this->buffer.begin(),
-        this->buffer.begin() + static_cast<std::ptrdiff_t>(bytes)}});
+  const TimePoint due = std::chrono::steady_clock::now() + this->hooks.delay();
+  if (!this->end_read && this->hooks.is_repeating()) {
+    this->RepeatLastChunk(due);
+  }
+  this->last.assign(this->buffer.begin(),
+                    this->buffer.begin() + static_cast<std::ptrdiff_t>(bytes));
+  this->chunks.push_back({due, this->last});
   this->WaitForChunk(owner);
   this->Read(owner);
 }
 
+void Pipe::RepeatLastChunk(TimePoint due) {
+  if (this->last.empty() || this->random() % kRepeatedChunks != 0) {
+    return;
+  }
+  const std::size_t size = 1 + this->random() % this->last.size();
+  this->chunks.push_back(
+      {due,
+       {this->last.begin(),
+        this->last.begin() + static_cast<std::ptrdiff_t>(size)}});
+}
+
 void Pipe::WaitForChunk(const std::shared_ptr<void>& owner) {
   if (this->delivering || this->chunks.empty() || this->hooks.is_dropping()) {
     return;
--- a/util/tcp_forwarder/pipe.h
+++ b/util/tcp_forwarder/pipe.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <random>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,6 +22,8 @@
   struct Hooks {
     std::function<Duration()> delay;
     std::function<bool()> is_dropping;
+    /// Whether the first bytes of a chunk are sent again before the next one.
+    std::function<bool()> is_repeating;
     std::function<void()> on_end;  ///< the end of stream was forwarded
     std::function<void()> on_error;
   };
@@ -44,6 +47,8 @@
   void OnRead(const std::shared_ptr<void>& owner,
               boost::system::error_code error,
               std::size_t bytes);
+  /// Queues the first bytes of the last chunk again.
+  void RepeatLastChunk(TimePoint due);
   void WaitForChunk(const std::shared_ptr<void>& owner);
   void WriteChunk(const std::shared_ptr<void>& owner);
 
@@ -53,6 +58,8 @@
   boost::asio::steady_timer timer;
   std::vector<char> buffer;
   std::deque<Chunk> chunks;
+  std::vector<char> last;  // chunk that was read last
+  std::minstd_rand random;
   bool reading = false;
   bool delivering = false;
   bool end_read = false;
--- a/util/tcp_forwarder/route.cc
+++ b/util/tcp_forwarder/route.cc
@@ -26,6 +26,8 @@
       return "drop";
     case RouteState::kDropReplies:
       return "drop_replies";
+    case RouteState::kRepeatReplies:
+      return "repeat_replies";
     case RouteState::kPass:
       break;
   }
@@ -89,6 +91,11 @@
                 const auto route = weak.lock();
                 return route && (route->state() == RouteState::kDrop ||
                                  route->state() == RouteState::kDropReplies);
+              },
+          .is_repeating_replies =
+              [weak = this->weak_from_this()] {
+                const auto route = weak.lock();
+                return route && route->state() == RouteState::kRepeatReplies;
               }});
   bool cut = false;
   {
--- a/util/tcp_forwarder/route_options.cc
+++ b/util/tcp_forwarder/route_options.cc
@@ -56,9 +56,12 @@
   if (name == "drop_replies") {
     return RouteState::kDropReplies;
   }
-  throw Error(
-      ErrorKind::kBadRequest,
-      "state: expected \"pass\", \"cut\", \"drop\" or \"drop_replies\"");
+  if (name == "repeat_replies") {
+    return RouteState::kRepeatReplies;
+  }
+  throw Error(ErrorKind::kBadRequest,
+              "state: expected \"pass\", \"cut\", \"drop\", "
+              "\"drop_replies\" or \"repeat_replies\"");
 }
 
 std::vector<RouteOptions> ParseRouteFile(std::string_view json) {
--- a/util/tcp_forwarder/route_options.h
+++ b/util/tcp_forwarder/route_options.h
@@ -16,6 +16,8 @@
   kCut,          ///< resets open and newly accepted connections
   kDrop,         ///< holds data in both directions until the state changes
   kDropReplies,  ///< the same, only from the server to the client
+  /// Sends the first bytes of some replies again, before the next reply.
+  kRepeatReplies,
 };
 
 /// One-way delays of a route.
