Order the reports of targets by the store instead of their clocks

Cause: TargetTable::Upsert ordered reports by `born`, a time of day, and dropped all reports of a target that had started again after its clock stepped back.

Change: ReportOrder, free of I/O, decides whether a report is outdated, an update or a restart by the version of the store with which it was written: epoch, then revision. Times are compared for equality only. After a restored store, a report is old if another start has replaced its own, or by its sequence. The soak restarts targets with clock steps of up to 2 s, with and without a lapse of their registration.

target_table_test/OlderReportIsIgnored states the revisions of its reports now, since the sequence alone no longer orders them.

--- a/include/auburnyard/leaving_targets.h
+++ b/include/auburnyard/leaving_targets.h
@@ -18,6 +18,10 @@
   bool Contains(const TargetIncarnation& incarnation) const;
   /// The incarnation is registered again.
   void Retain(const TargetIncarnation& incarnation);
+  /// Another start of the target has the same identifier, time and address.
+  void Forget(const TargetIncarnation& incarnation) {
+    this->forget_at.erase(incarnation);
+  }
   /// The registration of the incarnation is gone.
   void Release(const TargetIncarnation& incarnation, TimePoint now);
   /// Forgets incarnations whose registration has been gone for long.
--- a/include/auburnyard/target_entry.h
+++ b/include/auburnyard/target_entry.h
@@ -11,8 +11,10 @@
 /// One start of a target.
 struct TargetIncarnation {
   std::string id;
-  std::int64_t started_at_ms = 0;  ///< Unix time; 0: unknown
-  std::string address;             ///< IP:port
+  /// Unix time; 0: unknown. The clock of the target may step, so that a later
+  /// start can have an earlier time or the same one.
+  std::int64_t started_at_ms = 0;
+  std::string address;  ///< IP:port
 
   auto operator<=>(const TargetIncarnation&) const = default;
 };
@@ -29,6 +31,9 @@
   std::int64_t started_at_ms = 0;  ///< Unix time of its start; 0: unknown
   std::uint64_t sequence = 0;  ///< number of its latest report since its start
   std::string version;         ///< of the software or data that it serves
+  /// Version of the store that this report was written with.
+  std::uint64_t store_epoch = 0;
+  std::uint64_t store_revision = 0;
 
   TargetIncarnation Incarnation() const {
     return {this->id, this->started_at_ms, this->address};
--- a/src/relay/store_follower.cc
+++ b/src/relay/store_follower.cc
@@ -22,6 +22,14 @@
 // it is left; otherwise all hosts of its domain would read the store at once.
 constexpr milliseconds kMirrorEpochDelay{500};
 
+TargetEntry Dated(TargetEntry entry,
+                  const StoreItem& item,
+                  std::uint64_t epoch) {
+  entry.store_epoch = epoch;
+  entry.store_revision = item.revision;
+  return entry;
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(const RelayContext& context,
@@ -54,7 +62,7 @@
 StoreWatch::Hooks StoreFollower::WatchHooks() {
   StoreWatch::Hooks hooks;
   hooks.on_snapshot = [this](const StorePage& page) {
-    this->OnSnapshot(page, this->OriginFrom("read"));
+    this->OnSnapshot(page, this->OriginFrom("read", page.epoch));
     this->ChooseSource();
     this->UpdateMirrorServer();
     return this->hosts.HostsInDomain(this->identity.failure_domain).empty();
@@ -64,14 +72,14 @@
     const std::string_view domain = this->identity.failure_domain;
     const std::size_t before = this->hosts.HostsInDomain(domain).size();
     for (const StoreItem& item : page.items) {
-      this->Apply(item, this->OriginFrom("peek"));
+      this->Apply(item, this->OriginFrom("peek", page.epoch));
     }
     this->ChooseSource();
     return !this->hosts.IsLargeDomain(domain) &&
            (before == 0 || this->hosts.HostsInDomain(domain).size() > before);
   };
   hooks.on_changes = [this](const StorePage& page) {
-    const PageOrigin origin = this->OriginFrom("watch");
+    const PageOrigin origin = this->OriginFrom("watch", page.epoch);
     if (!page.more) {
       this->SetUpToDateAt(this->clock.Now());
     }
@@ -258,7 +266,7 @@
     return true;
   }
   const TimePoint now = this->clock.Now();
-  const PageOrigin origin = this->OriginFrom("mirror");
+  const PageOrigin origin = this->OriginFrom("mirror", page.epoch);
   this->SetUpToDateAt(now - page.age);
   if (page.followers > 0) {
     this->followed_domain_size = page.followers + 1;
@@ -394,9 +402,9 @@
   }
 }
 
-StoreFollower::PageOrigin StoreFollower::OriginFrom(
-    std::string_view source) const {
-  PageOrigin origin{.source = source};
+StoreFollower::PageOrigin StoreFollower::OriginFrom(std::string_view source,
+                                                    std::uint64_t epoch) const {
+  PageOrigin origin{.source = source, .epoch = epoch};
   if (this->up_to_date_at != TimePoint()) {
     origin.age = this->age();
   }
@@ -453,7 +461,7 @@
   } else if (const auto* domain = std::get_if<DomainEvacuation>(&change)) {
     this->targets.SetEvacuated(domain->domain, domain->evacuated);
   } else if (const auto* added = std::get_if<TargetRegistered>(&change)) {
-    return this->targets.Upsert(added->entry);
+    return this->targets.Upsert(Dated(added->entry, item, origin.epoch));
   } else if (const auto* gone = std::get_if<TargetUnregistered>(&change)) {
     this->targets.Remove(gone->id);
   } else if (const auto* host = std::get_if<HostRegistered>(&change)) {
@@ -469,7 +477,12 @@
 void StoreFollower::OnChanges(const StorePage& page, const PageOrigin& origin) {
   const std::uint64_t before = this->mirror.significant_revision();
   for (const StoreItem& item : page.items) {
-    this->mirror.Put(item, this->Apply(item, origin));
+    // A change from a source that is behind may precede a known removal.
+    const bool outdated = page.epoch == this->mirror.version().epoch &&
+                          this->mirror.HasNewer(item);
+    if (!outdated) {
+      this->mirror.Put(item, this->Apply(item, origin));
+    }
   }
   this->mirror.Advance(page.revision);
   if (this->mirror.significant_revision() > before) {
@@ -501,7 +514,7 @@
     } else if (const auto* domain = std::get_if<DomainEvacuation>(&change)) {
       evacuated.insert(domain->domain);
     } else if (const auto* target = std::get_if<TargetRegistered>(&change)) {
-      registered_targets.push_back(target->entry);
+      registered_targets.push_back(Dated(target->entry, item, page.epoch));
     } else if (const auto* host = std::get_if<HostRegistered>(&change)) {
       registered_hosts.push_back(host->entry);
     } else if (this->ApplyRollout(change)) {
--- a/src/relay/store_follower.h
+++ b/src/relay/store_follower.h
@@ -91,10 +91,11 @@
   /// Where a page comes from, for logs and metrics.
   struct PageOrigin {
     std::string_view source;
+    std::uint64_t epoch = 0;
     /// Age of this host's data before the page; none if it was not confirmed.
     std::optional<Duration> age;
   };
-  PageOrigin OriginFrom(std::string_view source) const;
+  PageOrigin OriginFrom(std::string_view source, std::uint64_t epoch) const;
   void OnSnapshot(const StorePage& page, const PageOrigin& origin);
   void OnChanges(const StorePage& page, const PageOrigin& origin);
   /// Returns false if the page is older than the data here.
--- a/src/relay/store_mirror.cc
+++ b/src/relay/store_mirror.cc
@@ -92,6 +92,14 @@
   this->Advance(version.revision);
 }
 
+bool StoreMirror::HasNewer(const StoreItem& item) const {
+  const auto entry = this->items.find(item.key);
+  const auto removed = this->tombstones.find(item.key);
+  return (entry != this->items.end() &&
+          entry->second.item.revision > item.revision) ||
+         (removed != this->tombstones.end() && removed->second > item.revision);
+}
+
 void StoreMirror::Advance(std::uint64_t revision) {
   this->current.revision = std::max(this->current.revision, revision);
   this->DropOldTombstones();
--- a/src/relay/store_mirror.h
+++ b/src/relay/store_mirror.h
@@ -43,6 +43,9 @@
     return known.epoch == this->current.epoch &&
            this->last_significant_revision <= known.revision;
   }
+  /// Whether a later change of the key is known, of the current epoch like the
+  /// item.
+  bool HasNewer(const StoreItem& item) const;
   StorePage All() const;
   /// Changes after a version; none if tombstones since then have been dropped,
   /// or if it is of another epoch.
--- a/src/relay/target_table.cc
+++ b/src/relay/target_table.cc
@@ -25,10 +25,12 @@
 // significant change.
 constexpr milliseconds kWarmUpTolerance{800};
 
-// Whether a registration differs in more than its sequence number and its
-// countdown.
+// Whether a registration differs in more than the place of the report in the
+// order of reports and its countdown.
 bool DiffersBeyondCountdown(TargetEntry known, const TargetEntry& changed) {
   known.sequence = changed.sequence;
+  known.store_epoch = changed.store_epoch;
+  known.store_revision = changed.store_revision;
   known.remaining_warm_up = changed.remaining_warm_up;
   return known != changed;
 }
@@ -61,7 +63,6 @@
 }
 
 bool TargetTable::Upsert(const TargetEntry& entry) {
-  const bool returned = this->deferred_removals.erase(entry.id) > 0;
   const auto found = this->pools.find(entry.id);
   if (found == this->pools.end()) {
     this->Add(entry);
@@ -69,17 +70,18 @@
   }
   TargetState& state = *found->second->target();
   const TargetEntry known = state.entry();
-  // A report older than the current one can arrive late.
-  if (!returned && std::pair(entry.started_at_ms, entry.sequence) <
-                       std::pair(known.started_at_ms, known.sequence)) {
+  const ReportKind kind = this->reports.Classify(known, entry);
+  if (kind == ReportKind::kOutdated) {
     LogEvent(spdlog::level::info, "target_report_outdated",
-             {{"target", entry.id}, {"sequence", entry.sequence}});
+             {{"target", entry.id},
+              {"sequence", entry.sequence},
+              {"started_at_ms", entry.started_at_ms},
+              {"revision", entry.store_revision}});
     return false;
   }
-  if (entry.started_at_ms != known.started_at_ms ||
-      entry.address != known.address || entry.service != known.service) {
-    this->Discard(entry.id);
-    this->Add(entry);
+  const bool returned = this->deferred_removals.erase(entry.id) > 0;
+  if (kind == ReportKind::kRestart) {
+    this->Restart(known, entry);
     return true;
   }
   if (entry.draining != known.draining) {
@@ -107,6 +109,16 @@
   return significant;
 }
 
+// An announcement of an earlier start with the same time says nothing about
+// this one.
+void TargetTable::Restart(const TargetEntry& known, const TargetEntry& entry) {
+  this->Discard(entry.id);
+  this->reports.OnRestart(known.Incarnation(), entry.Incarnation(),
+                          this->context.clock.Now());
+  this->leaving.Forget(entry.Incarnation());
+  this->Add(entry);
+}
+
 void TargetTable::Add(const TargetEntry& entry) {
   auto state = std::make_shared<TargetState>(
       entry, this->DistanceOf(entry.failure_domain));
@@ -659,6 +671,7 @@
   }
   const bool preconnect = now >= this->next_preconnect;
   if (preconnect) {
+    this->reports.Expire(this->context.clock.Now());
     this->leaving.Expire(now);
     this->next_preconnect = now + kPreconnectInterval;
     this->UpdateConnectionShare();
--- a/src/relay/target_table.h
+++ b/src/relay/target_table.h
@@ -14,6 +14,7 @@
 #include "auburnyard/host_table.h"
 #include "auburnyard/leaving_targets.h"
 #include "auburnyard/placement.h"
+#include "auburnyard/report_order.h"
 #include "auburnyard/rollout_table.h"
 #include "auburnyard/route_table.h"
 #include "auburnyard/target_access.h"
@@ -161,6 +162,8 @@
   /// every change that AccessTo depends on.
   void UpdateAdmission(TargetPool& pool) const;
   void UpdateAdmissions() const;
+  /// The target has started again.
+  void Restart(const TargetEntry& known, const TargetEntry& entry);
   void Add(const TargetEntry& entry);
   static void LogAdded(const TargetEntry& entry);
   void Discard(std::string_view id);
@@ -185,6 +188,7 @@
   std::map<std::string, TimePoint, std::less<>> deferred_removals;
   std::map<std::string, ColdRateLimiter, std::less<>> cold_rates;  // by target
   std::set<std::string, std::less<>> evacuated;
+  ReportOrder reports;
   LeavingTargets leaving;
   std::function<void()> on_leaving;
   std::function<void(const TargetPtr&, std::string_view, std::string_view)>
--- a/test/target_table_test.cc
+++ b/test/target_table_test.cc
@@ -164,15 +164,18 @@
   TableFixture fixture;
   TargetEntry leaving = TableFixture::Entry("near", "d1");
   leaving.sequence = 5;
+  leaving.store_revision = 20;
   leaving.draining = true;
   fixture.table.Upsert(leaving);
   TargetEntry old = TableFixture::Entry("near", "d1");
   old.sequence = 4;
+  old.store_revision = 19;
   fixture.table.Upsert(old);
   BOOST_TEST(fixture.Chosen().empty());
   // A restarted target counts its reports from the beginning.
   TargetEntry restarted = TableFixture::Entry("near", "d1");
   restarted.started_at_ms = 10;
+  restarted.store_revision = 21;
   fixture.table.Upsert(restarted);
   BOOST_TEST(fixture.Chosen() == "near");
 }
--- a/util/relay_soak/soak.cc
+++ b/util/relay_soak/soak.cc
@@ -44,6 +44,7 @@
 constexpr int kMaxLossJitterMs = 600;
 constexpr milliseconds kChangeAfterLoss{600};
 constexpr int kMaxStoreDelayMs = 400;
+constexpr std::size_t kMaxClockStepMs = 2'000;
 // Registrations that another writer left and that cannot be decoded.
 constexpr std::size_t kOddEntries = 3;
 constexpr std::size_t kOddDepth = 100'000;
@@ -411,10 +412,13 @@
     target.faults.failure_status = 0;
     target.faults.delay_ms = 0;
     this->fleet.SetTargetRoute(i, RouteState::kPass, {});
-    // Simulates a restart of the target: its new registration supersedes the
-    // old one.
-    this->fleet.Unregister(i);
-    target.Restart();
+    // The target starts again: its new registration supersedes the old one,
+    // whether that has lapsed or not, and whatever its clock shows.
+    if (this->Pick(2) == 0) {
+      this->fleet.Unregister(i);
+    }
+    const int step = 1 + static_cast<int>(this->Pick(kMaxClockStepMs));
+    target.Restart(this->Pick(2) == 0 ? step : -step);
     this->fleet.Register(i);
   }
   for (std::size_t i = 0; i < this->fleet.hosts(); ++i) {
--- a/util/relay_standin/relay_target.cc
+++ b/util/relay_standin/relay_target.cc
@@ -49,9 +49,9 @@
   this->server->AbortConnections();
 }
 
-void RelayTarget::Restart() {
+void RelayTarget::Restart(std::int64_t clock_step_ms) {
   const std::lock_guard lock(this->mutex);
-  ++this->started_at_ms;
+  this->started_at_ms += clock_step_ms;
   this->reports = 0;
   this->announced_connections.clear();
   if (this->faults.leaving.exchange(false)) {
--- a/util/relay_standin/relay_target.h
+++ b/util/relay_standin/relay_target.h
@@ -42,8 +42,9 @@
   void Advertise(std::uint16_t port) { this->advertised_port = port; }
   /// Resets all connections and accepts no more.
   void Crash();
-  /// Ends this incarnation and starts the next one at the same address.
-  void Restart();
+  /// Ends this incarnation and starts the next one at the same address, with a
+  /// time of its start that differs by `clock_step_ms`.
+  void Restart(std::int64_t clock_step_ms = 1);
   /// Registration to write to the store.
   std::string Registration(bool draining = false);
 
@@ -79,7 +80,7 @@
   std::shared_ptr<HttpServer> server;
   std::uint16_t advertised_port = 0;
   std::uint64_t reports = 0;
-  std::int64_t started_at_ms = 1'000;
+  std::int64_t started_at_ms = 1'000'000;
   mutable std::mutex mutex;
   std::map<std::string, int> executed;
   std::set<std::uint64_t> announced_connections;
