--- a/src/net/message_parser.h
+++ b/src/net/message_parser.h
@@ -18,8 +18,6 @@
     : public boost::beast::http::parser<is_request,
                                         boost::beast::http::string_body> {
  private:
-  using Base =
-      boost::beast::http::parser<is_request, boost::beast::http::string_body>;
   using StringView = boost::beast::string_view;
 
   /// Limit for all chunks of a message together.
