Play early refusals, repeatable requests and later changes in tests

The paths were judged by status_promise.h and StoreMirror::HasNewer, but no test played a reply that comes before the body is sent, a repeatable request whose first target answers 503, or a change that precedes a known removal.

--- a/test/relay_service_fixture.h
+++ b/test/relay_service_fixture.h
@@ -73,7 +73,7 @@
             .address = std::move(address),
             .failure_domain = "d1"};
   }
-  AnswerPtr Ask(const std::string& id) {
+  AnswerPtr Ask(const std::string& id, std::string body = "") {
     auto answer = std::make_shared<std::optional<CallerAnswer>>();
     CallerRequest request;
     request.host = "h";
@@ -82,6 +82,11 @@
     request.forwarded_head = "POST /p/x HTTP/1.1\r\nHost: h\r\n" +
                              std::string(platform::kRequestId) + ": " + id +
                              "\r\n";
+    if (!body.empty()) {
+      request.forwarded_head +=
+          "Content-Length: " + std::to_string(body.size()) + "\r\n";
+      request.body = std::move(body);
+    }
     this->service.Handle(
         std::move(request),
         [answer](CallerAnswer given) { *answer = std::move(given); },
--- a/test/store_mirror_test.cc
+++ b/test/store_mirror_test.cc
@@ -398,6 +398,21 @@
   BOOST_TEST(!codec.decode_epoch(odd).has_value());
 }
 
+// Guards against a change from a source that is behind, which would bring back
+// what is known to be removed or undo a later change.
+BOOST_AUTO_TEST_CASE(LaterChangesAreKnown) {
+  StoreMirror mirror;
+  mirror.Put({.key = "a", .value = "1", .revision = 7}, /*significant=*/true);
+  mirror.Put({.key = "b", .value = "1", .revision = 8}, /*significant=*/true);
+  mirror.Put({.key = "b", .revision = 10, .removed = true},
+             /*significant=*/true);
+  BOOST_TEST(mirror.HasNewer({.key = "a", .revision = 6}));
+  BOOST_TEST(!mirror.HasNewer({.key = "a", .revision = 7}));
+  BOOST_TEST(mirror.HasNewer({.key = "b", .revision = 9}));
+  BOOST_TEST(!mirror.HasNewer({.key = "b", .revision = 11}));
+  BOOST_TEST(!mirror.HasNewer({.key = "c", .revision = 1}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace auburnyard
--- a/test/withheld_reply_test.cc
+++ b/test/withheld_reply_test.cc
@@ -152,6 +152,47 @@
   BOOST_TEST(StatusOf(cut) == "502");
 }
 
+// Guards against the status of a target that answers before it has got the
+// body, and against a truthful refusal that is lost because it came early.
+BOOST_AUTO_TEST_CASE(EarlyReplyIsJudgedLikeAnyOther) {
+  constexpr std::size_t kUnreadBody = 16'000'000;
+  for (const bool stated : {false, true}) {
+    const std::string headers =
+        stated ? std::string(platform::kNotRun) + ": 1\r\n" : "";
+    ScriptedServer server([&](const std::string& head) {
+      return ScriptedReply{Failure(head, "503 Busy", "", headers)};
+    });
+    RelayServiceFixture fixture;
+    fixture.SetRoute(/*idempotent=*/false, kTimeout);
+    fixture.targets.Upsert(RelayServiceFixture::Entry("t", server.address()));
+    const auto answer = fixture.Ask("request-1", std::string(kUnreadBody, 'x'));
+    BOOST_TEST_REQUIRE(fixture.RunUntil([&] { return answer->has_value(); }));
+    BOOST_TEST(StatusOf(**answer) == (stated ? "503" : "502"));
+    BOOST_TEST(SignatureOf(**answer).empty());
+    BOOST_TEST(server.connections() == 1);
+  }
+}
+
+// Guards against a request that may be repeated and whose reply is given up,
+// because its first target answered with a promise.
+BOOST_AUTO_TEST_CASE(RepeatableRequestIsStillTriedElsewhere) {
+  ScriptedServer busy([](const std::string& head) {
+    return ScriptedReply{Failure(head, "503 Busy", "")};
+  });
+  ScriptedServer other(
+      [](const std::string& head) { return test::TargetReply(head, "other"); });
+  RelayServiceFixture fixture;
+  fixture.service.SetBudgetLimits({.ratio = 10});
+  fixture.SetRoute(/*idempotent=*/true, kTimeout);
+  fixture.targets.Upsert(RelayServiceFixture::Entry("a", busy.address()));
+  fixture.targets.Upsert(RelayServiceFixture::Entry("b", other.address()));
+  for (int i = 0; i < 4; ++i) {
+    const auto answer = fixture.Ask("request-" + std::to_string(i));
+    BOOST_TEST_REQUIRE(fixture.RunUntil([&] { return answer->has_value(); }));
+    BOOST_TEST(StatusOf(**answer) == "200", i);
+  }
+}
+
 // Guards against withheld replies that operators cannot trace.
 BOOST_AUTO_TEST_CASE(WithheldReplyIsLogged) {
   std::ostringstream output;
